--- /dev/null
+++ b/include/filbertmount/types/ids.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace Filbertmount {
+
+/**
+ * A string identifier that does not convert to identifiers of another kind.
+ *
+ * @tparam Tag an empty type that makes the kind unique
+ */
+template<class Tag>
+class StringId
+{
+public:
+    StringId() = default;
+    explicit StringId(std::string value)
+        : m_value(std::move(value))
+    {
+    }
+
+    [[nodiscard]] const std::string &value() const
+    {
+        return m_value;
+    }
+    [[nodiscard]] bool empty() const
+    {
+        return m_value.empty();
+    }
+
+    auto operator<=>(const StringId &) const = default;
+
+    template<class H>
+    friend H AbslHashValue(H state, const StringId &id) // NOLINT(readability-identifier-naming): Abseil fixes the name.
+    {
+        return H::combine(std::move(state), id.m_value);
+    }
+    friend std::ostream &operator<<(std::ostream &stream, const StringId &id)
+    {
+        return stream << id.m_value;
+    }
+
+private:
+    std::string m_value;
+};
+
+/**
+ * An unsigned 64-bit number that does not convert to numbers of another kind.
+ *
+ * @tparam Tag an empty type that makes the kind unique
+ */
+template<class Tag>
+class NumberId
+{
+public:
+    constexpr NumberId() = default;
+    constexpr explicit NumberId(std::uint64_t value)
+        : m_value(value)
+    {
+    }
+
+    [[nodiscard]] constexpr std::uint64_t value() const
+    {
+        return m_value;
+    }
+
+    constexpr auto operator<=>(const NumberId &) const = default;
+
+    template<class H>
+    friend H AbslHashValue(H state, const NumberId &id) // NOLINT(readability-identifier-naming): Abseil fixes the name.
+    {
+        return H::combine(std::move(state), id.m_value);
+    }
+    friend std::ostream &operator<<(std::ostream &stream, const NumberId &id)
+    {
+        return stream << id.m_value;
+    }
+
+private:
+    std::uint64_t m_value = 0;
+};
+
+using ServiceName = StringId<struct ServiceNameTag>;
+using TeamName = StringId<struct TeamNameTag>;
+using UpstreamId = StringId<struct UpstreamIdTag>;
+/** Identifies one process run of filbertmountd; a restarted process has a new one. */
+using InstanceId = StringId<struct InstanceIdTag>;
+using AvailabilityZone = StringId<struct AvailabilityZoneTag>;
+using Region = StringId<struct RegionTag>;
+
+/** The version that the platform's store gave an object; it rises with each write of the key. */
+using Revision = NumberId<struct RevisionTag>;
+/** Rises each time a member refutes a suspicion or an upstream is replaced under the same id. */
+using Incarnation = NumberId<struct IncarnationTag>;
+/** Unique within one entry instance run. */
+using RequestId = NumberId<struct RequestIdTag>;
+
+} // namespace Filbertmount
