Serve requests from caller to upstream and back

Cause: nothing connected the caller port, the router and the upstreams.

Change: CallerPort (libmicrohttpd, epoll, thread pool, suspend and resume), UpstreamClient (one curl multi handle per worker) and Exchange, which owns the life cycle of one request between them. Bodies stream in both directions through bounded buffers. filbertmountd serves one service that its command line names.

Ruled out: one curl worker per caller-port worker. Requests to one address then spread over as many connections as there are workers; with a worker chosen by address they share connections. curl_multi_poll is used instead of an own epoll loop, because an instance has tens of transfers at a time, not thousands.

Figures: 10 requests on one caller connection use 1 upstream connection (test "connections are kept open on both sides").

Conclusion: the whole path works over loopback in one process and as a program; SIGTERM drains it.

--- /dev/null
+++ b/include/filbertmount/proxy/exchangeports.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <filbertmount/claims/claimservice.h>
+#include <filbertmount/document/servicedocument.h>
+#include <filbertmount/routing/router.h>
+
+#include <functional>
+#include <string>
+
+namespace Filbertmount {
+
+class UpstreamClient;
+
+/** How exchanges reach the claims. All functions are thread-safe and are called without a lock. */
+struct ClaimPort {
+    /** Answers exactly once, on any thread. Empty when the instance has no store: keyed requests are refused. */
+    std::function<void(const ServiceDocument &, const std::string &idempotencyKey, ClaimHandler)> claim;
+    std::function<void(const ClaimId &, int status)> complete;
+    std::function<void(const ClaimId &)> release;
+};
+
+/** What an exchange works with. All of it outlives the exchanges. */
+struct ExchangePorts {
+    Router &router;
+    UpstreamClient &client;
+    ClaimPort claims;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/include/filbertmount/proxy/upstreamclient.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <filbertmount/proxy/httpmessage.h>
+#include <filbertmount/types/instant.h>
+
+#include <absl/functional/any_invocable.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Filbertmount {
+
+/** One request to one upstream. */
+struct TransferRequest {
+    /** "IP:port". */
+    std::string address;
+    RequestHead head;
+    /** Non-repeatable requests get a new connection, so that no stale one can eat them. */
+    bool freshConnection = false;
+    /** Time for the connection alone. */
+    Duration connectTimeout = std::chrono::seconds(1);
+    /** Time for the whole transfer. */
+    Duration timeout = std::chrono::seconds(10);
+};
+
+enum class TransferResult : std::uint8_t {
+    /** The whole answer arrived. */
+    Complete,
+    /** No connection was made, so no byte was sent. */
+    NotConnected,
+    /** The connection broke before the answer was whole. */
+    Broken,
+    /** The upstream sent something that is not HTTP/1.x. */
+    Garbage,
+    TimedOut,
+    /** cancel() was called or the listener gave the transfer up. */
+    Cancelled,
+};
+
+struct TransferEnd {
+    TransferResult result = TransferResult::Cancelled;
+    /** Whether a byte of the request may have left this process. */
+    bool sent = false;
+    std::string reason;
+};
+
+enum class Intake : std::uint8_t {
+    Taken,
+    /** The same data is offered again after Transfer::resume(). */
+    Pause,
+    /** The transfer is cancelled. */
+    Stop,
+};
+
+struct BodyRead {
+    Intake intake = Intake::Taken;
+    /** Bytes copied; 0 with Taken is the end of the body. */
+    std::size_t size = 0;
+};
+
+/**
+ * Receives the events of one transfer, on the worker thread of the transfer. No lock of the client is held.
+ */
+class TransferListener
+{
+public:
+    TransferListener() = default;
+    TransferListener(const TransferListener &) = delete;
+    TransferListener &operator=(const TransferListener &) = delete;
+    virtual ~TransferListener() = default;
+
+    /** The connection stands and the first byte of the request is about to be sent; Stop keeps it from being sent. */
+    virtual Intake transferSending() = 0;
+    virtual BodyRead transferRequestBody(std::span<char> buffer) = 0;
+    virtual Intake transferAnswerHead(AnswerHead head) = 0;
+    virtual Intake transferAnswerBody(std::string_view data) = 0;
+    /** The last event; runs exactly once. */
+    virtual void transferEnded(const TransferEnd &end) = 0;
+};
+
+class TransferWorker;
+class Transfer;
+
+/** A started transfer. Copies stand for the same transfer; all calls are thread-safe and have no effect after its end. */
+class TransferHandle
+{
+public:
+    TransferHandle() = default;
+    TransferHandle(std::shared_ptr<Transfer> transfer, TransferWorker *worker);
+
+    void cancel();
+    /** Goes on after an Intake::Pause in either direction. */
+    void resume();
+
+private:
+    std::shared_ptr<Transfer> m_transfer;
+    TransferWorker *m_worker = nullptr;
+};
+
+struct UpstreamClientOptions {
+    int workers = 2;
+};
+
+/**
+ * Sends requests to upstreams over kept-alive connections, on its own threads. Thread-safe.
+ *
+ * All requests to one address run on the same worker, so that they share its connections.
+ */
+class UpstreamClient
+{
+public:
+    explicit UpstreamClient(const UpstreamClientOptions &options);
+    UpstreamClient(const UpstreamClient &) = delete;
+    UpstreamClient &operator=(const UpstreamClient &) = delete;
+    /** Cancels what is still running; every listener gets its transferEnded. */
+    ~UpstreamClient();
+
+    TransferHandle start(TransferRequest request, std::shared_ptr<TransferListener> listener);
+    /** Runs @p task on a worker thread after @p delay, with a resolution of 1 ms. Not run after destruction has begun. */
+    void runAfter(Duration delay, absl::AnyInvocable<void()> task);
+
+private:
+    std::vector<std::unique_ptr<TransferWorker>> m_workers;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/proxy/answerbuffer.cpp
@@ -0,0 +1,21 @@
+#include "proxy/answerbuffer.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace Filbertmount {
+
+std::size_t AnswerBuffer::read(std::span<char> buffer)
+{
+    const std::size_t size = std::min(buffer.size(), left());
+    std::memcpy(buffer.data(), m_data.data() + m_start, size);
+    m_start += size;
+    // Without this, a caller that is always slower than the upstream would let the passed part grow without bound.
+    if (m_start >= LowWaterBytes) {
+        m_data.erase(0, m_start);
+        m_start = 0;
+    }
+    return size;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/proxy/attempt.cpp
@@ -0,0 +1,94 @@
+#include "proxy/attempt.h"
+
+#include "proxy/exchange.h"
+
+#include <utility>
+
+namespace Filbertmount {
+
+namespace {
+
+AttemptOutcome outcomeOf(const TransferEnd &end, int status)
+{
+    switch (end.result) {
+    case TransferResult::Complete:
+        return status >= 500 ? AttemptOutcome::ServerError : AttemptOutcome::Success;
+    case TransferResult::NotConnected:
+        return AttemptOutcome::ConnectFailed;
+    case TransferResult::Broken:
+        return AttemptOutcome::Broken;
+    case TransferResult::Garbage:
+        return AttemptOutcome::ServerError;
+    case TransferResult::TimedOut:
+        return AttemptOutcome::TimedOut;
+    case TransferResult::Cancelled:
+        break;
+    }
+    if (status >= 500) {
+        return AttemptOutcome::ServerError; // Given up in favour of a retry.
+    }
+    return end.sent ? AttemptOutcome::Cancelled : AttemptOutcome::Unused;
+}
+
+} // namespace
+
+std::optional<AttemptOutcome> documentedRefusal(const AnswerHead &head)
+{
+    const std::string *reason = head.status == 503 ? findHeader(head.headers, "Request-Not-Run") : nullptr;
+    if (reason == nullptr) {
+        return std::nullopt;
+    }
+    if (equalsIgnoringCase(*reason, "draining")) {
+        return AttemptOutcome::RefusedDraining;
+    }
+    if (equalsIgnoringCase(*reason, "shedding")) {
+        return AttemptOutcome::RefusedShedding;
+    }
+    if (equalsIgnoringCase(*reason, "starting")) {
+        return AttemptOutcome::RefusedStarting;
+    }
+    return std::nullopt;
+}
+
+Attempt::Attempt(std::shared_ptr<Exchange> exchange, Placement given)
+    : placement(std::move(given))
+    , m_exchange(std::move(exchange))
+{
+}
+
+Intake Attempt::transferSending()
+{
+    return m_exchange->attemptSending(*this);
+}
+
+BodyRead Attempt::transferRequestBody(std::span<char> buffer)
+{
+    return m_exchange->attemptBody(*this, buffer);
+}
+
+Intake Attempt::transferAnswerHead(AnswerHead head)
+{
+    return m_exchange->attemptHead(*this, std::move(head));
+}
+
+Intake Attempt::transferAnswerBody(std::string_view data)
+{
+    return m_exchange->attemptData(*this, data);
+}
+
+void Attempt::transferEnded(const TransferEnd &end)
+{
+    m_exchange->attemptEnded(*this, end);
+}
+
+AttemptReport Attempt::report(const TransferEnd &end, Instant now) const
+{
+    return {.outcome = refusal ? *refusal : outcomeOf(end, status), .serviceTime = sentAt ? now - *sentAt : Duration(0)};
+}
+
+bool Attempt::notRun(const TransferEnd &end) const
+{
+    return !end.sent || refusal.has_value();
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/proxy/attempt.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <filbertmount/proxy/upstreamclient.h>
+#include <filbertmount/routing/placement.h>
+
+#include <optional>
+
+namespace Filbertmount {
+
+class Exchange;
+
+/** Returns the outcome that a documented refusal (503 with Request-Not-Run) stands for, or nothing for other answers. */
+std::optional<AttemptOutcome> documentedRefusal(const AnswerHead &head);
+
+/** One attempt of an exchange at one upstream. Its state is guarded by the mutex of its exchange. */
+class Attempt final : public TransferListener
+{
+public:
+    Attempt(std::shared_ptr<Exchange> exchange, Placement placement);
+
+    Intake transferSending() override;
+    BodyRead transferRequestBody(std::span<char> buffer) override;
+    Intake transferAnswerHead(AnswerHead head) override;
+    Intake transferAnswerBody(std::string_view data) override;
+    void transferEnded(const TransferEnd &end) override;
+
+    /** What the router is told when the transfer has ended. */
+    [[nodiscard]] AttemptReport report(const TransferEnd &end, Instant now) const;
+    /** Whether the upstream certainly did not run the request. */
+    [[nodiscard]] bool notRun(const TransferEnd &end) const;
+
+    const Placement placement;
+    TransferHandle transfer;
+    /** Bytes of the request body that this attempt has read. */
+    std::size_t bodyOffset = 0;
+    bool waitsForBody = false;
+    bool waitsForCaller = false;
+    std::optional<Instant> sentAt;
+    /** Status of the answer; 0 before its head. */
+    int status = 0;
+    std::optional<AttemptOutcome> refusal;
+    Duration refusedFor = std::chrono::seconds(1);
+
+private:
+    const std::shared_ptr<Exchange> m_exchange;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/proxy/callerport.cpp
@@ -0,0 +1,295 @@
+#include <filbertmount/proxy/callerport.h>
+
+#include "proxy/callerconnections.h"
+#include "proxy/callerrequest.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace Filbertmount {
+
+struct CallerPort::Context {
+    const ServiceDirectory &directory;
+    const ExchangePorts &ports;
+    CallerPortOptions options;
+    CallerConnections connections;
+    std::atomic<bool> draining = false;
+};
+
+namespace {
+
+// Holds the header of a request, a part of its body and the header of the answer.
+constexpr std::size_t ConnectionMemoryBytes = std::size_t{64} << 10U;
+
+// Copied at a time from the answer buffer to the connection.
+constexpr std::size_t AnswerBlockBytes = std::size_t{32} << 10U;
+
+using ConnectionHandle = std::shared_ptr<CallerConnection>;
+
+const ConnectionHandle &connectionOf(MHD_Connection *connection)
+{
+    const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return *static_cast<ConnectionHandle *>(info->socket_context);
+}
+
+void *requestLine(void * /*context*/, const char *target, MHD_Connection *connection)
+{
+    return std::make_unique<CallerRequest>(connection, target).release();
+}
+
+void connectionChanged(void *context, MHD_Connection *connection, void **socketContext, MHD_ConnectionNotificationCode code)
+{
+    CallerConnections &connections = static_cast<CallerPort::Context *>(context)->connections;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        const int socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+        *socketContext = std::make_unique<ConnectionHandle>(connections.opened(socket)).release();
+        return;
+    }
+    const std::unique_ptr<ConnectionHandle> handle(static_cast<ConnectionHandle *>(*socketContext));
+    connections.closed(*handle);
+}
+
+void requestCompleted(void * /*context*/, MHD_Connection *connection, void **requestContext, MHD_RequestTerminationCode code)
+{
+    const std::unique_ptr<CallerRequest> request(static_cast<CallerRequest *>(std::exchange(*requestContext, nullptr)));
+    if (request == nullptr) {
+        return;
+    }
+    if (request->exchange != nullptr) {
+        request->exchange->callerDone(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+    }
+    connectionOf(connection)->requestDone(ProcessClock::now());
+}
+
+ssize_t readAnswer(void *exchange, std::uint64_t /*position*/, char *buffer, std::size_t size)
+{
+    const AnswerChunk chunk = (*static_cast<std::shared_ptr<Exchange> *>(exchange))->readAnswer({buffer, size});
+    switch (chunk.read) {
+    case AnswerRead::Data:
+        return static_cast<ssize_t>(chunk.size);
+    case AnswerRead::Parked:
+        return 0;
+    case AnswerRead::End:
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    case AnswerRead::Broken:
+        break;
+    }
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+void freeExchange(void *exchange)
+{
+    const std::unique_ptr<std::shared_ptr<Exchange>> handle(static_cast<std::shared_ptr<Exchange> *>(exchange));
+}
+
+MHD_Result respond(const CallerPort::Context &context,
+                   MHD_Connection *connection,
+                   int status,
+                   const Headers &headers,
+                   MHD_Response *response)
+{
+    if (response == nullptr) {
+        return MHD_NO;
+    }
+    for (const Header &header : headers) {
+        MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
+    }
+    if (context.draining) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
+    const MHD_Result result = MHD_queue_response(connection, static_cast<unsigned int>(status), response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+MHD_Result respondProblem(const CallerPort::Context &context, MHD_Connection *connection, const Problem &problem)
+{
+    ProblemAnswer answer = renderProblem(problem);
+    MHD_Response *response = MHD_create_response_from_buffer(answer.body.size(), answer.body.data(), MHD_RESPMEM_MUST_COPY);
+    return respond(context, connection, problem.status, answer.headers, response);
+}
+
+MHD_Result respondHead(const CallerPort::Context &context,
+                       MHD_Connection *connection,
+                       const std::shared_ptr<Exchange> &exchange,
+                       const AnswerHead &head)
+{
+    const bool empty = head.contentLength == 0 || head.status == 204 || head.status == 304;
+    if (empty) {
+        return respond(
+            context, connection, head.status, head.headers, MHD_create_response_from_buffer(0, nullptr, MHD_RESPMEM_PERSISTENT));
+    }
+    const std::uint64_t size = head.contentLength ? static_cast<std::uint64_t>(*head.contentLength) : MHD_SIZE_UNKNOWN;
+    auto handle = std::make_unique<std::shared_ptr<Exchange>>(exchange);
+    MHD_Response *response = MHD_create_response_from_callback(size, AnswerBlockBytes, &readAnswer, handle.get(), &freeExchange);
+    if (response != nullptr) {
+        static_cast<void>(handle.release()); // Owned by the response.
+    }
+    return respond(context, connection, head.status, head.headers, response);
+}
+
+MHD_Result beginRequest(CallerPort::Context &context,
+                        MHD_Connection *connection,
+                        CallerRequest &request,
+                        const char *method,
+                        const char *version)
+{
+    request.begun = true;
+    const std::optional<Problem> problem = request.begin(method, version, context.directory, context.ports);
+    connectionOf(connection)->requestBegun(request.exchange);
+    return problem ? respondProblem(context, connection, *problem) : MHD_YES;
+}
+
+MHD_Result answerRequest(const CallerPort::Context &context, MHD_Connection *connection, CallerRequest &request)
+{
+    if (!std::exchange(request.bodyEnded, true)) {
+        request.exchange->endBody();
+    }
+    const std::optional<AnswerStart> start = request.exchange->answerStart();
+    if (!start) {
+        return MHD_YES; // Parked.
+    }
+    if (const auto *problem = std::get_if<Problem>(&*start)) {
+        return respondProblem(context, connection, *problem);
+    }
+    return respondHead(context, connection, request.exchange, std::get<AnswerHead>(*start));
+}
+
+MHD_Result handleRequest(void *opaque,
+                         MHD_Connection *connection,
+                         const char * /*url*/,
+                         const char *method,
+                         const char *version,
+                         const char *data,
+                         std::size_t *size,
+                         void **requestContext)
+{
+    CallerPort::Context &context = *static_cast<CallerPort::Context *>(opaque);
+    CallerRequest &request = *static_cast<CallerRequest *>(*requestContext);
+    if (!request.begun) {
+        return beginRequest(context, connection, request, method, version);
+    }
+    if (*size > 0) {
+        *size -= request.exchange->takeBody({data, *size});
+        return MHD_YES;
+    }
+    return answerRequest(context, connection, request);
+}
+
+// The target is passed on as it came, so that nothing is decoded.
+std::size_t keepEscapes(void * /*context*/, MHD_Connection * /*connection*/, char *text)
+{
+    return std::string_view(text).size();
+}
+
+} // namespace
+
+CallerPort::CallerPort() = default;
+
+Result<std::unique_ptr<CallerPort>>
+CallerPort::listen(const CallerPortOptions &options, const ServiceDirectory &directory, const ExchangePorts &ports)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(options.port);
+    const std::string name = options.address + ":" + std::to_string(options.port);
+    if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
+        return boost::leaf::new_error(Failure{.step = Step::ReadSettings, .peer = name, .reason = "not an IPv4 address"});
+    }
+    std::unique_ptr<CallerPort> port(new CallerPort);
+    port->m_context.reset(new Context{.directory = directory, .ports = ports, .options = options});
+    Context *context = port->m_context.get();
+    const auto idleSeconds = std::chrono::ceil<std::chrono::seconds>(options.idleTimeout).count();
+    port->m_daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TURBO,
+                                      0,
+                                      nullptr,
+                                      nullptr,
+                                      &handleRequest,
+                                      context,
+                                      MHD_OPTION_SOCK_ADDR,
+                                      reinterpret_cast<sockaddr *>(&address),
+                                      MHD_OPTION_THREAD_POOL_SIZE,
+                                      static_cast<unsigned int>(std::max(1, options.workers)),
+                                      MHD_OPTION_CONNECTION_LIMIT,
+                                      static_cast<unsigned int>(options.connections),
+                                      MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                                      ConnectionMemoryBytes,
+                                      MHD_OPTION_CONNECTION_TIMEOUT,
+                                      static_cast<unsigned int>(idleSeconds),
+                                      MHD_OPTION_STRICT_FOR_CLIENT,
+                                      1,
+                                      MHD_OPTION_LISTENING_ADDRESS_REUSE,
+                                      1U,
+                                      MHD_OPTION_UNESCAPE_CALLBACK,
+                                      &keepEscapes,
+                                      nullptr,
+                                      MHD_OPTION_URI_LOG_CALLBACK,
+                                      &requestLine,
+                                      nullptr,
+                                      MHD_OPTION_NOTIFY_CONNECTION,
+                                      &connectionChanged,
+                                      context,
+                                      MHD_OPTION_NOTIFY_COMPLETED,
+                                      &requestCompleted,
+                                      context,
+                                      MHD_OPTION_END);
+    if (port->m_daemon == nullptr) {
+        return boost::leaf::new_error(
+            Failure{.step = Step::ReadSettings, .peer = name, .reason = "cannot listen on this address"});
+    }
+    return port;
+}
+
+CallerPort::~CallerPort()
+{
+    if (m_daemon == nullptr) {
+        return;
+    }
+    drain();
+    // libmicrohttpd must not be stopped while a connection is parked; a request that arrives meanwhile parks again.
+    while (m_context->connections.requestsInProgress() > 0) {
+        m_context->connections.abandonExchanges();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    MHD_stop_daemon(m_daemon);
+}
+
+std::uint16_t CallerPort::port() const
+{
+    return MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+void CallerPort::tick(Instant now)
+{
+    m_context->connections.closeSlowCallers(now, m_context->options.headerTimeout);
+    m_context->connections.checkExchanges(now);
+}
+
+void CallerPort::drain()
+{
+    if (m_context->draining.exchange(true)) {
+        return;
+    }
+    const int listener = MHD_quiesce_daemon(m_daemon);
+    if (listener >= 0) {
+        close(listener);
+    }
+}
+
+bool CallerPort::drained(Instant now) const
+{
+    return m_context->draining && m_context->connections.silentSince(now - m_context->options.drainLinger);
+}
+
+std::size_t CallerPort::requestsInProgress() const
+{
+    return m_context->connections.requestsInProgress();
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/proxy/exchange.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include "proxy/answerbuffer.h"
+#include "proxy/attempt.h"
+#include "proxy/callcontext.h"
+#include "proxy/requestbody.h"
+#include "proxy/retrystate.h"
+
+#include <filbertmount/proxy/exchangeports.h>
+#include <filbertmount/proxy/problem.h>
+#include <filbertmount/proxy/servicedirectory.h>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/inlined_vector.h>
+#include <absl/synchronization/mutex.h>
+
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace Filbertmount {
+
+/** The caller's connection as an exchange sees it. */
+class CallerLink
+{
+public:
+    CallerLink() = default;
+    CallerLink(const CallerLink &) = delete;
+    CallerLink &operator=(const CallerLink &) = delete;
+    virtual ~CallerLink() = default;
+
+    /** Stops the events of the connection until unpark(). Called only from within an event of the connection. */
+    virtual void park() = 0;
+    /** Called on any thread, only while parked. */
+    virtual void unpark() = 0;
+    /** Breaks the connection; used when the caller cannot be given an answer. Called on any thread. */
+    virtual void hangUp() = 0;
+};
+
+struct ExchangeOptions {
+    const ExchangePorts &ports;
+    SharedDocument document;
+    /** Part of the document. */
+    const Route &route;
+    RequestHead head;
+    CallContext context;
+    Instant deadline;
+};
+
+/** What the caller gets first: the head of the upstream's answer, or an error. */
+using AnswerStart = std::variant<AnswerHead, Problem>;
+
+enum class AnswerRead : std::uint8_t {
+    Data,
+    /** The connection was parked. */
+    Parked,
+    End,
+    /** The rest of the answer is lost; the caller has to see that. */
+    Broken,
+};
+
+struct AnswerChunk {
+    AnswerRead read = AnswerRead::Parked;
+    std::size_t size = 0;
+};
+
+/**
+ * The life cycle of one request: body, claim, placement, attempts, answer. Thread-safe.
+ *
+ * Each attempt belongs to one exchange and to one transfer, so an answer cannot reach another request.
+ */
+class Exchange final : public std::enable_shared_from_this<Exchange>
+{
+public:
+    Exchange(ExchangeOptions options, CallerLink &link);
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+    ~Exchange() = default;
+
+    // Events of the caller's connection, on its thread.
+
+    /** Takes in a part of the body and returns its size; 0 means that the connection was parked. */
+    std::size_t takeBody(std::string_view data);
+    void endBody();
+    /** Returns the answer when there is one; otherwise parks the connection. */
+    std::optional<AnswerStart> answerStart();
+    AnswerChunk readAnswer(std::span<char> buffer);
+    /** The connection has finished with this request: with the whole answer, or was lost. The link is not used any more. */
+    void callerDone(bool answerDelivered);
+
+    // Called from the timer thread.
+
+    /** The caller closed its side of the connection while it was parked. */
+    void callerHungUp();
+    /** Ends what has not been answered by its deadline. */
+    void expire(Instant now);
+    /** Ends the exchange whatever its state; used when the process stops without time left. */
+    void abandon();
+
+    [[nodiscard]] bool parked() const;
+
+    // Events of the attempts, on the worker threads of their transfers.
+
+    Intake attemptSending(Attempt &attempt);
+    BodyRead attemptBody(Attempt &attempt, std::span<char> buffer);
+    Intake attemptHead(Attempt &attempt, AnswerHead head);
+    Intake attemptData(Attempt &attempt, std::string_view data);
+    void attemptEnded(Attempt &attempt, const TransferEnd &end);
+
+private:
+    enum class Progress : std::uint8_t {
+        Open,
+        Whole,
+        Broken,
+    };
+
+    void begin();
+    void askForClaim();
+    void claimAnswered(const ClaimAnswer &answer);
+    void place(bool hedge);
+    void placed(PlacementResult result);
+    void startAttempt(Placement placement) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    /** The following two return whether another placement is to be asked for. */
+    bool placementRefused(const PlacementRefusal &refusal) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    bool attemptFailed(const Attempt &attempt, const TransferEnd &end) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    bool winnerEnded(const Attempt &attempt, const TransferEnd &end) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    bool takeRetry(bool notRun) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    bool wantsRetryFor(const AnswerHead &head) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    [[nodiscard]] std::optional<Problem> tooLateToSend(Instant now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    [[nodiscard]] Problem problemOf(const Attempt &attempt, const TransferEnd &end) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void fail(Problem problem) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void leaveCaller(bool cancel) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void cancelAttempts(const Attempt *except) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void resumeBodies() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void resumeAnswer() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void park() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    std::size_t discardBody(std::size_t size) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    /** Settles the claim once nothing runs any more. */
+    void settle();
+    [[nodiscard]] TransferRequest transferRequest(const Placement &placement) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    const ExchangePorts &m_ports;
+    const SharedDocument m_document;
+    const Route m_route;
+    const RequestHead m_head;
+    const CallContext m_context;
+    const Instant m_deadline;
+
+    mutable absl::Mutex m_mutex;
+    CallerLink *m_link ABSL_GUARDED_BY(m_mutex);
+    bool m_parked ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_callerLeft ABSL_GUARDED_BY(m_mutex) = false;
+    RequestBody m_body ABSL_GUARDED_BY(m_mutex);
+    std::int64_t m_discarded ABSL_GUARDED_BY(m_mutex) = 0;
+    bool m_begun ABSL_GUARDED_BY(m_mutex) = false;
+    RetryState m_retries ABSL_GUARDED_BY(m_mutex);
+    /** Attempts whose transfer has not ended. */
+    std::vector<std::shared_ptr<Attempt>> m_attempts ABSL_GUARDED_BY(m_mutex);
+    absl::InlinedVector<UpstreamId, 2> m_used ABSL_GUARDED_BY(m_mutex);
+    /** Placements and claims that are being waited for. */
+    int m_waiting ABSL_GUARDED_BY(m_mutex) = 0;
+    RunState m_run ABSL_GUARDED_BY(m_mutex) = RunState::NotRun;
+    std::optional<ClaimId> m_claim ABSL_GUARDED_BY(m_mutex);
+    Instant m_dispatchBefore ABSL_GUARDED_BY(m_mutex) = Instant::max();
+    /** The answer when no upstream gave one. */
+    std::optional<Problem> m_problem ABSL_GUARDED_BY(m_mutex);
+    /** Why the last attempt failed; the answer when no other attempt can be made. */
+    std::optional<Problem> m_lastFailure ABSL_GUARDED_BY(m_mutex);
+    /** The attempt whose answer is passed on; only compared with. */
+    const Attempt *m_winner ABSL_GUARDED_BY(m_mutex) = nullptr;
+    AnswerHead m_answerHead ABSL_GUARDED_BY(m_mutex);
+    int m_answerStatus ABSL_GUARDED_BY(m_mutex) = 0;
+    AnswerBuffer m_answer ABSL_GUARDED_BY(m_mutex);
+    Progress m_answerProgress ABSL_GUARDED_BY(m_mutex) = Progress::Open;
+    /** Whether the caller may be given the head; from then on no other attempt can answer. */
+    bool m_headReady ABSL_GUARDED_BY(m_mutex) = false;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/proxy/httpmessage.cpp
@@ -0,0 +1,109 @@
+#include <filbertmount/proxy/httpmessage.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace Filbertmount {
+
+namespace {
+
+// Content-Length is derived again by each side from the body that it sends.
+constexpr std::array<std::string_view, 11> ConnectionHeaders = {
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+};
+
+char lower(char character)
+{
+    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+// Headers that a Connection header names also concern one connection only.
+bool isNamedInConnection(const Headers &headers, std::string_view name)
+{
+    for (const Header &header : headers) {
+        if (!equalsIgnoringCase(header.name, "connection")) {
+            continue;
+        }
+        std::string_view rest = header.value;
+        while (!rest.empty()) {
+            const std::size_t comma = std::min(rest.find(','), rest.size());
+            if (equalsIgnoringCase(trimmed(rest.substr(0, comma)), name)) {
+                return true;
+            }
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) {
+               return lower(a) == lower(b);
+           });
+}
+
+const std::string *findHeader(const Headers &headers, std::string_view name)
+{
+    for (const Header &header : headers) {
+        if (equalsIgnoringCase(header.name, name)) {
+            return &header.value;
+        }
+    }
+    return nullptr;
+}
+
+Headers endToEndHeaders(const Headers &headers)
+{
+    Headers kept;
+    kept.reserve(headers.size());
+    for (const Header &header : headers) {
+        const bool known = std::any_of(ConnectionHeaders.begin(), ConnectionHeaders.end(), [&](std::string_view name) {
+            return equalsIgnoringCase(header.name, name);
+        });
+        if (!known && !isNamedInConnection(headers, header.name)) {
+            kept.push_back(header);
+        }
+    }
+    return kept;
+}
+
+std::optional<std::int64_t> parseNumber(std::string_view text)
+{
+    std::int64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc{} || end != text.data() + text.size() || text.empty()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::string_view RequestHead::path() const
+{
+    const std::string_view whole = target;
+    return whole.substr(0, whole.find('?'));
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/proxy/problem.cpp
@@ -0,0 +1,78 @@
+#include <filbertmount/proxy/problem.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Filbertmount {
+
+namespace {
+
+std::string_view titleOf(int status)
+{
+    switch (status) {
+    case 400:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case 405:
+        return "Method Not Allowed";
+    case 408:
+        return "Request Timeout";
+    case 409:
+        return "Conflict";
+    case 413:
+        return "Content Too Large";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    case 505:
+        return "HTTP Version Not Supported";
+    default:
+        return "Error";
+    }
+}
+
+} // namespace
+
+std::string_view runStateName(RunState run)
+{
+    switch (run) {
+    case RunState::NotRun:
+        return "not-run";
+    case RunState::MayHaveRun:
+        return "may-have-run";
+    case RunState::Ran:
+        return "ran";
+    }
+    return "may-have-run";
+}
+
+ProblemAnswer renderProblem(const Problem &problem)
+{
+    const std::string run(runStateName(problem.run));
+    nlohmann::json body = {
+        {"type", "about:blank"},
+        {"title", std::string(titleOf(problem.status))},
+        {"status", problem.status},
+        {"detail", problem.detail},
+        {"run", run},
+        {"retry", problem.retry},
+    };
+    ProblemAnswer answer{.headers = problem.headers, .body = {}};
+    answer.headers.push_back({.name = "Content-Type", .value = "application/problem+json"});
+    answer.headers.push_back({.name = "Filbertmount-Run", .value = run});
+    if (problem.retryAfter) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*problem.retryAfter).count();
+        body["retry_after"] = seconds;
+        answer.headers.push_back({.name = "Retry-After", .value = std::to_string(seconds)});
+    }
+    // Detail texts may quote bytes of an upstream that are not UTF-8.
+    answer.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return answer;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/proxy/requestbody.cpp
@@ -0,0 +1,33 @@
+#include "proxy/requestbody.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace Filbertmount {
+
+std::size_t RequestBody::append(std::string_view data)
+{
+    const std::size_t taken = std::min(data.size(), KeptBytes - m_data.size());
+    m_data.append(data.substr(0, taken));
+    return taken;
+}
+
+void RequestBody::finish()
+{
+    m_finished = true;
+}
+
+std::size_t RequestBody::read(std::size_t offset, std::span<char> buffer)
+{
+    const std::size_t start = offset - m_dropped;
+    const std::size_t size = std::min(buffer.size(), m_data.size() - start);
+    std::memcpy(buffer.data(), m_data.data() + start, size);
+    const bool keptWhole = m_finished && m_dropped == 0;
+    if (!keptWhole) {
+        m_data.erase(0, start + size);
+        m_dropped += start + size;
+    }
+    return size;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/proxy/retrystate.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+/** Decides whether a request may get one more attempt. Not thread-safe. */
+class RetryState
+{
+public:
+    /**
+     * @param repeatable whether running the request twice does no harm
+     * @param retriesLeft extra attempts that the call tree may still use
+     * @param maxAttempts attempts at this level, the first included
+     */
+    RetryState(bool repeatable, int retriesLeft, int maxAttempts)
+        : m_repeatable(repeatable)
+        , m_retriesLeft(retriesLeft)
+        , m_attemptsLeft(maxAttempts)
+    {
+    }
+
+    /** Whether an attempt may follow one that failed; @p notRun says that the failed one was certainly not run. */
+    [[nodiscard]] bool mayRetry(bool notRun) const
+    {
+        return m_retriesLeft > 0 && m_attemptsLeft > 0 && (notRun || m_repeatable);
+    }
+    void firstAttempt()
+    {
+        --m_attemptsLeft;
+    }
+    void extraAttempt()
+    {
+        --m_attemptsLeft;
+        --m_retriesLeft;
+    }
+    /** An error answer says how many extra attempts the levels below left. */
+    void limitTo(int left)
+    {
+        m_retriesLeft = std::min(m_retriesLeft, left);
+    }
+    [[nodiscard]] int retriesLeft() const
+    {
+        return m_retriesLeft;
+    }
+    [[nodiscard]] bool repeatable() const
+    {
+        return m_repeatable;
+    }
+
+private:
+    bool m_repeatable;
+    int m_retriesLeft;
+    int m_attemptsLeft;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/proxy/transferworker.cpp
@@ -0,0 +1,202 @@
+#include "proxy/transferworker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Filbertmount {
+
+namespace {
+
+// Upper bound of one wait; commands and sockets end it early.
+constexpr int MaxWaitMilliseconds = 1000;
+
+// Easy handles that are kept for reuse; above this, a burst's handles are freed again.
+constexpr std::size_t MaxSpareHandles = 64;
+
+} // namespace
+
+TransferWorker::TransferWorker()
+    : m_multi(curl_multi_init())
+{
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+TransferWorker::~TransferWorker()
+{
+    m_stopping = true;
+    curl_multi_wakeup(m_multi);
+    m_thread.join();
+    for (CURL *easy : m_spare) {
+        curl_easy_cleanup(easy);
+    }
+    curl_multi_cleanup(m_multi);
+}
+
+void TransferWorker::start(std::shared_ptr<Transfer> transfer)
+{
+    post({.action = Action::Start, .transfer = std::move(transfer)});
+}
+
+void TransferWorker::cancel(std::shared_ptr<Transfer> transfer)
+{
+    post({.action = Action::Cancel, .transfer = std::move(transfer)});
+}
+
+void TransferWorker::resume(std::shared_ptr<Transfer> transfer)
+{
+    post({.action = Action::Resume, .transfer = std::move(transfer)});
+}
+
+void TransferWorker::runAfter(Duration delay, absl::AnyInvocable<void()> task)
+{
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_timers.push(
+            {.due = ProcessClock::now() + delay, .task = std::make_shared<absl::AnyInvocable<void()>>(std::move(task))});
+    }
+    curl_multi_wakeup(m_multi);
+}
+
+void TransferWorker::post(Command command)
+{
+    bool first = false;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        first = m_commands.empty();
+        m_commands.push_back(std::move(command));
+    }
+    // The worker takes all commands at once, so only the first one has to wake it.
+    if (first) {
+        curl_multi_wakeup(m_multi);
+    }
+}
+
+void TransferWorker::run()
+{
+    while (!m_stopping) {
+        takeCommands();
+        int running = 0;
+        curl_multi_perform(m_multi, &running);
+        collectEnded();
+        runTimers();
+        curl_multi_poll(m_multi, nullptr, 0, waitMilliseconds(), nullptr);
+    }
+    // A listener may start another transfer when its first one is cancelled.
+    do {
+        takeCommands();
+        while (!m_running.empty()) {
+            carryOut({.action = Action::Cancel, .transfer = m_running.begin()->second});
+        }
+    } while (hasCommands());
+}
+
+bool TransferWorker::hasCommands()
+{
+    const absl::MutexLock lock(&m_mutex);
+    return !m_commands.empty();
+}
+
+void TransferWorker::takeCommands()
+{
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_taken.swap(m_commands);
+    }
+    for (const Command &command : m_taken) {
+        carryOut(command);
+    }
+    m_taken.clear();
+}
+
+void TransferWorker::carryOut(const Command &command)
+{
+    CURL *easy = command.transfer->easy();
+    if (command.action == Action::Start) {
+        startTransfer(command.transfer);
+        return;
+    }
+    if (easy == nullptr) {
+        return; // It has ended.
+    }
+    if (command.action == Action::Resume) {
+        curl_easy_pause(easy, CURLPAUSE_CONT);
+        return;
+    }
+    detach(easy);
+    command.transfer->cancelled();
+}
+
+void TransferWorker::startTransfer(const std::shared_ptr<Transfer> &transfer)
+{
+    CURL *easy = nullptr;
+    if (m_spare.empty()) {
+        easy = curl_easy_init();
+    } else {
+        easy = m_spare.back();
+        m_spare.pop_back();
+    }
+    transfer->prepare(easy);
+    m_running.emplace(easy, transfer);
+    curl_multi_add_handle(m_multi, easy);
+}
+
+void TransferWorker::detach(CURL *easy)
+{
+    curl_multi_remove_handle(m_multi, easy);
+    curl_easy_reset(easy);
+    m_running.erase(easy);
+    if (m_spare.size() < MaxSpareHandles) {
+        m_spare.push_back(easy);
+    } else {
+        curl_easy_cleanup(easy);
+    }
+}
+
+void TransferWorker::collectEnded()
+{
+    int left = 0;
+    while (const CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        // The message is freed with the handle's removal.
+        CURL *easy = message->easy_handle;
+        const CURLcode code = message->data.result;
+        const std::shared_ptr<Transfer> transfer = m_running.at(easy);
+        detach(easy);
+        transfer->end(code);
+    }
+}
+
+void TransferWorker::runTimers()
+{
+    const Instant now = ProcessClock::now();
+    std::vector<Timer> due;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        while (!m_timers.empty() && m_timers.top().due <= now) {
+            due.push_back(m_timers.top());
+            m_timers.pop();
+        }
+    }
+    for (const Timer &timer : due) {
+        (*timer.task)();
+    }
+}
+
+int TransferWorker::waitMilliseconds()
+{
+    const absl::MutexLock lock(&m_mutex);
+    if (!m_commands.empty()) {
+        return 0;
+    }
+    if (m_timers.empty()) {
+        return MaxWaitMilliseconds;
+    }
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(m_timers.top().due - ProcessClock::now()).count();
+    return static_cast<int>(std::clamp<std::int64_t>(wait, 0, MaxWaitMilliseconds));
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/proxy/transferworker.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "proxy/transfer.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <atomic>
+#include <queue>
+#include <thread>
+#include <variant>
+
+namespace Filbertmount {
+
+/** One thread with one curl multi handle and its connections. */
+class TransferWorker
+{
+public:
+    TransferWorker();
+    TransferWorker(const TransferWorker &) = delete;
+    TransferWorker &operator=(const TransferWorker &) = delete;
+    ~TransferWorker();
+
+    void start(std::shared_ptr<Transfer> transfer);
+    void cancel(std::shared_ptr<Transfer> transfer);
+    void resume(std::shared_ptr<Transfer> transfer);
+    void runAfter(Duration delay, absl::AnyInvocable<void()> task);
+
+private:
+    enum class Action : std::uint8_t {
+        Start,
+        Cancel,
+        Resume,
+    };
+    struct Command {
+        Action action = Action::Start;
+        std::shared_ptr<Transfer> transfer;
+    };
+    struct Timer {
+        Instant due;
+        std::shared_ptr<absl::AnyInvocable<void()>> task;
+        bool operator<(const Timer &other) const
+        {
+            return due > other.due;
+        }
+    };
+
+    void post(Command command);
+    void run();
+    [[nodiscard]] bool hasCommands();
+    void takeCommands();
+    void carryOut(const Command &command);
+    void startTransfer(const std::shared_ptr<Transfer> &transfer);
+    void collectEnded();
+    void detach(CURL *easy);
+    void runTimers();
+    [[nodiscard]] int waitMilliseconds();
+
+    CURLM *m_multi;
+    absl::flat_hash_map<CURL *, std::shared_ptr<Transfer>> m_running;
+    std::vector<CURL *> m_spare;
+    std::vector<Command> m_taken;
+
+    absl::Mutex m_mutex;
+    std::vector<Command> m_commands ABSL_GUARDED_BY(m_mutex);
+    std::priority_queue<Timer> m_timers ABSL_GUARDED_BY(m_mutex);
+    std::atomic<bool> m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace Filbertmount
