--- /dev/null
+++ b/include/filbertmount/telemetry/metrics.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Filbertmount {
+
+using MetricLabels = std::map<std::string, std::string>;
+
+/** Name and help text of a metric family. */
+struct MetricInfo {
+    const char *name;
+    const char *help;
+};
+
+/** All metrics of filbertmountd; docs/metrics.md lists them with their labels. */
+namespace MetricNames {
+inline constexpr MetricInfo Requests{"filbertmount_requests_total", "Requests answered, by service and status class"};
+inline constexpr MetricInfo Attempts{"filbertmount_attempts_total", "Attempts at upstreams, by service and outcome"};
+inline constexpr MetricInfo Refusals{"filbertmount_refusals_total", "Requests refused by filbertmount, by service and reason"};
+inline constexpr MetricInfo RequestSeconds{"filbertmount_request_seconds", "Time from the request's header to the answer's end"};
+inline constexpr MetricInfo PlacementSeconds{"filbertmount_placement_seconds", "Time from asking for an upstream to getting one"};
+inline constexpr MetricInfo InFlight{"filbertmount_requests_in_flight", "Requests in progress"};
+inline constexpr MetricInfo PeerMessages{"filbertmount_peer_messages_total", "Messages between entry instances, by direction"};
+inline constexpr MetricInfo PeerBytes{"filbertmount_peer_bytes_total", "Bytes between entry instances, by direction"};
+inline constexpr MetricInfo PeerDropped{"filbertmount_peer_dropped_total", "Peer messages dropped, by reason"};
+inline constexpr MetricInfo StoreCalls{"filbertmount_store_calls_total",
+                                       "Calls of the platform's store, by operation and outcome"};
+inline constexpr MetricInfo Claims{"filbertmount_claims_total", "Idempotency key claims, by service and decision"};
+inline constexpr MetricInfo Probes{"filbertmount_probes_total", "Probes of upstreams, by service and result"};
+inline constexpr MetricInfo ProbeSeconds{"filbertmount_probe_slot_seconds_total",
+                                         "Upstream slot time spent on probes, by service"};
+inline constexpr MetricInfo DocumentRevision{"filbertmount_document_revision", "Revision of the document in force, by service"};
+inline constexpr MetricInfo Quarantined{"filbertmount_quarantined_total",
+                                        "Requests refused because they crash upstreams, by service"};
+inline constexpr MetricInfo Members{"filbertmount_members", "Entry instances seen alive"};
+} // namespace MetricNames
+
+/**
+ * The metrics registry of one process. Thread-safe. The references stay valid as long as the object; callers on the
+ * request path keep them instead of looking them up for each request.
+ */
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+
+    prometheus::Counter &counter(const MetricInfo &info, const MetricLabels &labels = {});
+    prometheus::Gauge &gauge(const MetricInfo &info, const MetricLabels &labels = {});
+    /** Buckets run from 100 microseconds to 30 seconds. */
+    prometheus::Histogram &histogram(const MetricInfo &info, const MetricLabels &labels = {});
+
+    /** Returns all metrics in Prometheus' text format. */
+    [[nodiscard]] std::string exposition() const;
+
+private:
+    std::shared_ptr<prometheus::Registry> m_registry;
+};
+
+} // namespace Filbertmount
