--- /dev/null
+++ b/standins/upstream/executionlog.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <fstream>
+#include <string>
+
+namespace Filbertmount::StandIn {
+
+/**
+ * Appends one line "request-id idempotency-key method path" for each request that was run, "-" for a missing value.
+ * Lines reach the file before the request's work starts, so they survive a crash of the process.
+ */
+class ExecutionLog
+{
+public:
+    /** An empty @p path keeps no log. */
+    explicit ExecutionLog(const std::string &path);
+
+    void
+    record(const std::string &requestId, const std::string &idempotencyKey, const std::string &method, const std::string &path);
+
+private:
+    absl::Mutex m_mutex;
+    std::ofstream m_file ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace Filbertmount::StandIn
