--- a/include/filbertmount/document/servicedocument.h
+++ b/include/filbertmount/document/servicedocument.h
@@ -29,6 +29,8 @@
     std::vector<StaticUpstream> addresses;
     /** Requests that one upstream runs at a time. */
     int slots = 2;
+    /** Connections that one upstream accepts from all entry instances together. */
+    int connections = 200;
     /** Time over which a new upstream's slots ramp up. */
     Duration coldStart = std::chrono::seconds(5);
 };
