Add parser of the settings of filbertmountd

Cause: a daemon learns its addresses, limits and teams from a settings file, which nothing read. Ruled out: a separate reader; the settings use the TOML reader of the documents, so errors have the same form. Wildcard addresses for the administration and peer ports were ruled out, because these addresses are given to other instances. Conclusion: an unknown key, a wrong type or a value out of range stops the start with file, line and key.

--- /dev/null
+++ b/include/filbertmount/settings/parseinstancesettings.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <filbertmount/settings/instancesettings.h>
+#include <filbertmount/types/failure.h>
+
+#include <string>
+#include <string_view>
+
+namespace Filbertmount {
+
+/**
+ * Parses and checks the settings of filbertmountd.
+ *
+ * @param text TOML
+ * @param fileName name of the file in errors
+ * @return the settings with defaults filled in; otherwise a Failure of Step::ReadSettings whose reason lists every error
+ *         on its own line with file, line and key, accompanied by ConfigIssues
+ */
+Result<InstanceSettings> parseInstanceSettings(std::string_view text, const std::string &fileName);
+
+/** Reads and parses a settings file; a file that cannot be read is a Failure of Step::ReadSettings. */
+Result<InstanceSettings> readInstanceSettings(const std::string &fileName);
+
+/** Parses 64 hexadecimal digits. */
+std::optional<TokenHash> parseTokenHash(std::string_view text);
+
+} // namespace Filbertmount
