--- a/include/filbertmount/store/objectstore.h
+++ b/include/filbertmount/store/objectstore.h
@@ -37,6 +37,7 @@
     StoreObject object;
     /** The store's clock at the time of its answer; zero when there was no answer. */
     StoreTime time;
+    /** Why the call is not Done, with step and peer. */
     std::string reason;
 };
 
@@ -45,6 +46,8 @@
     std::vector<StoreObject> objects;
     /** The store's revision that the listing shows; a watch continues from here. */
     Revision revision;
+    /** Why the listing is not Done, with step and peer. */
+    std::string reason;
 };
 
 /** Revision 0 in an update means: only if the key does not exist. */
@@ -90,6 +93,8 @@
 struct InstanceListing {
     StoreOutcome outcome = StoreOutcome::Unavailable;
     std::vector<ListedInstance> instances;
+    /** Why the listing is not Done, with step and peer. */
+    std::string reason;
 };
 
 } // namespace Filbertmount
