--- /dev/null
+++ b/include/filbertmount/peer/peerdispatcher.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <filbertmount/peer/peersender.h>
+#include <filbertmount/types/failure.h>
+#include <filbertmount/types/ids.h>
+
+#include <peer.pb.h>
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace Filbertmount {
+
+/**
+ * Largest envelope that is sent or accepted, in bytes. A store value of 1 MB must fit with its message headers.
+ */
+inline constexpr std::size_t MaxEnvelopeBytes = (std::size_t{1} << 20U) + (std::size_t{64} << 10U);
+
+/** How many received messages ended in which way. */
+struct PeerReceiveCounts {
+    std::uint64_t accepted = 0;
+    /** Not an envelope, or an envelope without a sender. */
+    std::uint64_t malformed = 0;
+    std::uint64_t oversized = 0;
+    std::uint64_t wrongCluster = 0;
+    /** Bodies of a kind that this version does not know or that has no handler. */
+    std::uint64_t unhandledBodies = 0;
+};
+
+/**
+ * Checks received envelopes and passes each body to the handler of its kind.
+ * Handlers are set before the first receive(); receive() is thread-safe and runs the handlers on the caller's thread.
+ */
+class PeerDispatcher
+{
+public:
+    using BodyHandler = std::function<void(const InstanceId &from, const Wire::Body &body)>;
+    /** Runs before the bodies of an envelope that carries member updates. */
+    using MemberHandler = std::function<void(const InstanceId &from, const Wire::Envelope &envelope)>;
+    /** Reports a dropped message; called for the first and then for every DropReportInterval-th drop. */
+    using DropHandler = std::function<void(const Failure &failure)>;
+
+    /** A peer that sends nothing but broken messages must not fill the log. */
+    static constexpr std::uint64_t DropReportInterval = 1000;
+
+    struct Options {
+        /** Messages of other clusters are dropped. */
+        std::string cluster;
+        std::size_t maxBytes = MaxEnvelopeBytes;
+        DropHandler onDrop;
+    };
+
+    explicit PeerDispatcher(Options options);
+
+    void setHandler(Wire::Body::KindCase kind, BodyHandler handler);
+    void setMemberHandler(MemberHandler handler);
+
+    /** Handles one received message; drops it when it is not a valid envelope of this cluster. */
+    void receive(std::string_view bytes);
+
+    [[nodiscard]] PeerReceiveCounts counts() const;
+
+private:
+    static constexpr std::size_t KindCount = 64;
+
+    void drop(std::atomic<std::uint64_t> &counter, const std::string &peer, const std::string &reason);
+    void dispatch(const InstanceId &from, const Wire::Body &body);
+
+    Options m_options;
+    std::array<BodyHandler, KindCount> m_handlers;
+    MemberHandler m_memberHandler;
+    std::atomic<std::uint64_t> m_accepted{0};
+    std::atomic<std::uint64_t> m_malformed{0};
+    std::atomic<std::uint64_t> m_oversized{0};
+    std::atomic<std::uint64_t> m_wrongCluster{0};
+    std::atomic<std::uint64_t> m_unhandledBodies{0};
+    std::atomic<std::uint64_t> m_drops{0};
+};
+
+} // namespace Filbertmount
--- a/include/filbertmount/peer/peersender.h
+++ b/include/filbertmount/peer/peersender.h
@@ -4,7 +4,7 @@
 
 #include <functional>
 
-namespace filbertmount::peer {
+namespace filbertmount::peer { // NOLINT(readability-identifier-naming): protoc derives the name from the package.
 class Envelope;
 } // namespace filbertmount::peer
 
