--- /dev/null
+++ b/tests/replication/documenttabletest.cpp
@@ -0,0 +1,122 @@
+#include "support/documentfleet.h"
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+using namespace Filbertmount;
+using namespace Filbertmount::Testing;
+
+// Guards against a document that goes back to an older state after a stale read or a late message.
+TEST_CASE("document table takes only higher revisions and keeps the last valid document")
+{
+    struct Step {
+        std::uint64_t revision;
+        const char *value;
+        DocumentTakeResult result;
+        std::uint64_t inForce;
+        std::uint64_t latest;
+        bool found;
+    };
+    const std::vector<Step> steps = {
+        {5, "a", DocumentTakeResult::Applied, 5, 5, true},
+        {5, "b", DocumentTakeResult::Stale, 5, 5, true},
+        {4, "old", DocumentTakeResult::Stale, 5, 5, true},
+        {6, "bad", DocumentTakeResult::Rejected, 5, 6, true},
+        {5, "a", DocumentTakeResult::Stale, 5, 6, true},
+        {8, "c", DocumentTakeResult::Applied, 8, 8, true},
+        {9, "deleted", DocumentTakeResult::Applied, 0, 9, false},
+        {8, "c", DocumentTakeResult::Stale, 0, 9, false},
+        {10, "bad", DocumentTakeResult::Rejected, 0, 10, false},
+        {11, "d", DocumentTakeResult::Applied, 11, 11, true},
+    };
+    DocumentTable table(decodeTestDocument);
+    const ServiceName service("shopfront");
+    for (const Step &step : steps) {
+        CAPTURE(step.revision);
+        CAPTURE(step.value);
+        CHECK(table.take(service, Revision(step.revision), step.value) == step.result);
+        const DocumentStatus status = table.status(service).value();
+        CHECK(status.inForce == Revision(step.inForce));
+        CHECK(status.latest == Revision(step.latest));
+        CHECK(status.rejection.empty() == (step.result != DocumentTakeResult::Rejected && step.latest != 6));
+        CHECK((table.find(service) != nullptr) == step.found);
+        CHECK((table.findByHost("shopfront.example") != nullptr) == step.found);
+    }
+    CHECK(table.takeChanges().size() == 4);
+    CHECK(table.takeChanges().empty());
+}
+
+// Guards against one team taking over another's traffic by an edit that arrives in a different order elsewhere.
+TEST_CASE("document table gives a shared host to the same service whatever the order")
+{
+    const auto decoder = [](const ServiceName &service, const std::string &) -> Result<DecodedDocument> {
+        DecodedDocument decoded;
+        decoded.document.service = service;
+        decoded.document.hosts = {"shared.example"};
+        return decoded;
+    };
+    for (const bool reversed : {false, true}) {
+        DocumentTable table(decoder);
+        table.take(ServiceName(reversed ? "b" : "a"), Revision(1), "x");
+        table.take(ServiceName(reversed ? "a" : "b"), Revision(2), "x");
+        CHECK(table.findByHost("shared.example")->document.service == ServiceName("a"));
+        CHECK(table.all().size() == 2);
+    }
+}
+
+TEST_CASE("document table rejects a document that names another service")
+{
+    DocumentTable table([](const ServiceName &, const std::string &) -> Result<DecodedDocument> {
+        DecodedDocument decoded;
+        decoded.document.service = ServiceName("other");
+        return decoded;
+    });
+    CHECK(table.take(ServiceName("shopfront"), Revision(1), "x") == DocumentTakeResult::Rejected);
+    CHECK(table.status(ServiceName("shopfront"))->rejection == "document names service other");
+}
+
+// Guards against digests that agree while the tables differ, which would stop the repair of lost changes.
+TEST_CASE("document digests are equal exactly when the revisions are")
+{
+    DocumentTable left(decodeTestDocument);
+    DocumentTable right(decodeTestDocument);
+    for (int index = 0; index < 100; ++index) {
+        left.take(ServiceName("s" + std::to_string(index)), Revision(1), "x");
+        right.take(ServiceName("s" + std::to_string(99 - index)), Revision(1), "x");
+    }
+    CHECK(left.digest().root == right.digest().root);
+    left.take(ServiceName("s7"), Revision(2), "bad");
+    CHECK(left.digest().root != right.digest().root);
+    const std::size_t bucket = documentBucket(ServiceName("s7"));
+    CHECK(left.digest().buckets.at(bucket) != right.digest().buckets.at(bucket));
+    right.take(ServiceName("s7"), Revision(2), "bad");
+    CHECK(left.digest().root == right.digest().root);
+}
+
+// Guards against data races between the request path and changes (checked by the thread sanitizer).
+TEST_CASE("document table is safe to read while it changes")
+{
+    DocumentTable table(decodeTestDocument);
+    const ServiceName service("shopfront");
+    table.take(service, Revision(1), "x");
+    std::vector<std::thread> readers;
+    readers.reserve(3);
+    for (int reader = 0; reader < 3; ++reader) {
+        readers.emplace_back([&] {
+            Revision last;
+            for (int round = 0; round < 500; ++round) {
+                const Revision seen = table.find(service)->revision;
+                CHECK(seen >= last);
+                last = seen;
+            }
+        });
+    }
+    for (std::uint64_t revision = 2; revision < 200; ++revision) {
+        table.take(service, Revision(revision), "x");
+    }
+    for (std::thread &reader : readers) {
+        reader.join();
+    }
+    CHECK(table.find(service)->revision == Revision(199));
+}
