--- a/include/filbertmount/proxy/httpmessage.h
+++ b/include/filbertmount/proxy/httpmessage.h
@@ -35,9 +35,6 @@
     Headers headers;
     /** Length of the body in bytes; nothing when the body is chunked. */
     std::optional<std::int64_t> contentLength = 0;
-
-    /** The target without its query. */
-    [[nodiscard]] std::string_view path() const;
 };
 
 /** The head of an upstream's answer. */
--- a/include/filbertmount/proxy/servicedirectory.h
+++ b/include/filbertmount/proxy/servicedirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <filbertmount/document/routetable.h>
 #include <filbertmount/document/servicedocument.h>
 
 #include <absl/base/thread_annotations.h>
@@ -15,32 +16,31 @@
 
 using SharedDocument = std::shared_ptr<const ServiceDocument>;
 
-/** The outcome of matching a request against the routes of a service. */
-struct RouteMatch {
-    /** Null when no route matches. */
-    const Route *route = nullptr;
-    /** Methods of the routes that match the path alone, for the Allow header; empty when the path is unknown. */
-    std::vector<std::string> allowedMethods;
+/** A document in force with its compiled routes. Immutable. */
+struct DirectoryEntry {
+    SharedDocument document;
+    RouteTable routes;
 };
 
-/** Returns the first route that matches; a document without routes accepts everything as not repeatable. */
-RouteMatch matchRoute(const ServiceDocument &document, std::string_view method, std::string_view path);
-
-/** Returns whether @p path matches a pattern in which '*' stands for one segment and a trailing "**" for the rest. */
-bool matchesPath(std::string_view pattern, std::string_view path);
-
-/** Finds the document in force for a Host header. Thread-safe. */
+/** Finds the document and the routes for a Host header. Thread-safe. */
 class ServiceDirectory
 {
 public:
-    /** Replaces all documents. When two documents claim one host, the first one in order of service name gets it. */
+    /**
+     * Replaces all documents. When two documents claim one host, the first one in order of service name gets it.
+     * Routes are compiled only for documents that were not there before, by address.
+     */
     void replace(std::vector<SharedDocument> documents);
 
-    /** Returns the document of the service that the Host header selects, or null. The port is ignored. */
-    [[nodiscard]] SharedDocument find(std::string_view host) const;
+    /** Returns the entry of the service that the Host header selects, or null. The port is ignored. */
+    [[nodiscard]] std::shared_ptr<const DirectoryEntry> find(std::string_view host) const;
+    [[nodiscard]] bool empty() const;
 
 private:
-    using Hosts = absl::flat_hash_map<std::string, SharedDocument>;
+    using Entry = std::shared_ptr<const DirectoryEntry>;
+    using Hosts = absl::flat_hash_map<std::string, Entry>;
+
+    [[nodiscard]] std::shared_ptr<const Hosts> hosts() const;
 
     mutable absl::Mutex m_mutex;
     std::shared_ptr<const Hosts> m_hosts ABSL_GUARDED_BY(m_mutex) = std::make_shared<Hosts>();
--- a/src/proxy/callerport.cpp
+++ b/src/proxy/callerport.cpp
@@ -206,7 +206,8 @@
     port->m_context.reset(new Context{.directory = directory, .ports = ports, .options = options});
     Context *context = port->m_context.get();
     const auto idleSeconds = std::chrono::ceil<std::chrono::seconds>(options.idleTimeout).count();
-    port->m_daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TURBO,
+    // Without MHD_USE_TURBO: with it, libmicrohttpd 0.9.75 leaves a connection open whose answer broke off.
+    port->m_daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME,
                                       0,
                                       nullptr,
                                       nullptr,
--- a/src/proxy/callerrequest.cpp
+++ b/src/proxy/callerrequest.cpp
@@ -68,13 +68,9 @@
     if (match.allowedMethods.empty()) {
         return {.status = 404, .detail = "the service has no route for this path"};
     }
-    std::string allow;
-    for (const std::string &method : match.allowedMethods) {
-        allow.append(allow.empty() ? "" : ", ").append(method);
-    }
     return {.status = 405,
             .detail = "the route does not accept this method",
-            .headers = {{.name = "Allow", .value = std::move(allow)}}};
+            .headers = {{.name = "Allow", .value = match.allowedMethods}}};
 }
 
 } // namespace
@@ -128,11 +124,11 @@
     if (std::optional<Problem> problem = framingProblem(head)) {
         return problem;
     }
-    SharedDocument document = directory.find(*findHeader(head.headers, "Host"));
-    if (document == nullptr) {
+    const std::shared_ptr<const DirectoryEntry> entry = directory.find(*findHeader(head.headers, "Host"));
+    if (entry == nullptr) {
         return Problem{.status = 404, .detail = "no service has this host name"};
     }
-    const LimitSettings &limits = document->limits;
+    const LimitSettings &limits = entry->document->limits;
     if (head.target.size() + headerBytes(head.headers) > static_cast<std::size_t>(limits.maxHeaderBytes)) {
         return Problem{.status = 431,
                        .detail = "the header is over the limit of " + std::to_string(limits.maxHeaderBytes) + " bytes"};
@@ -141,7 +137,7 @@
         return Problem{.status = 413,
                        .detail = "the body is over the limit of " + std::to_string(limits.maxBodyBytes) + " bytes"};
     }
-    const RouteMatch match = matchRoute(*document, head.method, head.path());
+    const RouteMatch match = entry->routes.find(head.method, head.target);
     if (match.route == nullptr) {
         return methodProblem(match);
     }
@@ -150,10 +146,11 @@
         return Problem{.status = 400, .detail = "the call passed through more than 32 levels"};
     }
     const Duration time = std::min(match.route->deadline, context.timeLeft.value_or(match.route->deadline));
-    const Route &route = *match.route;
+    Route route = *match.route;
+    route.repeatable = match.repeatable;
     exchange = std::make_shared<Exchange>(ExchangeOptions{.ports = ports,
-                                                          .document = std::move(document),
-                                                          .route = route,
+                                                          .document = entry->document,
+                                                          .route = std::move(route),
                                                           .head = std::move(head),
                                                           .context = std::move(context),
                                                           .deadline = now + time},
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -15,7 +15,7 @@
 Exchange::Exchange(ExchangeOptions options, CallerLink &link)
     : m_ports(options.ports)
     , m_document(std::move(options.document))
-    , m_route(options.route)
+    , m_route(std::move(options.route))
     , m_head(std::move(options.head))
     , m_context(std::move(options.context))
     , m_deadline(options.deadline)
@@ -40,7 +40,8 @@
         }
         taken = m_body.append(data);
         beginNow = m_body.full() && !std::exchange(m_begun, m_begun || m_body.full());
-        if (taken == 0) {
+        // libmicrohttpd offers a rest again only after new data or a resumption.
+        if (taken < data.size()) {
             park();
         }
         resumeBodies();
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -41,8 +41,8 @@
 struct ExchangeOptions {
     const ExchangePorts &ports;
     SharedDocument document;
-    /** Part of the document. */
-    const Route &route;
+    /** With the repeatability that holds for this request. */
+    Route route;
     RequestHead head;
     CallContext context;
     Instant deadline;
@@ -80,7 +80,7 @@
 
     // Events of the caller's connection, on its thread.
 
-    /** Takes in a part of the body and returns its size; 0 means that the connection was parked. */
+    /** Takes in a part of the body and returns its size; the connection was parked when something is left. */
     std::size_t takeBody(std::string_view data);
     void endBody();
     /** Returns the answer when there is one; otherwise parks the connection. */
--- a/src/proxy/httpmessage.cpp
+++ b/src/proxy/httpmessage.cpp
@@ -100,10 +100,4 @@
     return number;
 }
 
-std::string_view RequestHead::path() const
-{
-    const std::string_view whole = target;
-    return whole.substr(0, whole.find('?'));
-}
-
 } // namespace Filbertmount
--- a/src/proxy/servicedirectory.cpp
+++ b/src/proxy/servicedirectory.cpp
@@ -18,92 +18,55 @@
     return key;
 }
 
-std::string_view takeSegment(std::string_view &path)
+DirectoryEntry compile(SharedDocument document)
 {
-    const std::size_t slash = std::min(path.find('/'), path.size());
-    const std::string_view segment = path.substr(0, slash);
-    path.remove_prefix(std::min(slash + 1, path.size()));
-    return segment;
+    // A document without routes accepts every request, as not repeatable.
+    std::vector<Route> routes = document->routes.empty() ? std::vector<Route>{Route{}} : document->routes;
+    return {.document = std::move(document), .routes = RouteTable(std::move(routes))};
 }
 
 } // namespace
 
-bool matchesPath(std::string_view pattern, std::string_view path)
-{
-    if (!pattern.starts_with('/') || !path.starts_with('/')) {
-        return false;
-    }
-    pattern.remove_prefix(1);
-    path.remove_prefix(1);
-    while (true) {
-        if (pattern == "**") {
-            return true;
-        }
-        if (pattern.empty() || path.empty()) {
-            return pattern == path;
-        }
-        const bool patternGoesOn = pattern.find('/') != std::string_view::npos;
-        const bool pathGoesOn = path.find('/') != std::string_view::npos;
-        const std::string_view expected = takeSegment(pattern);
-        const std::string_view actual = takeSegment(path);
-        if ((expected != "*" || actual.empty()) && expected != actual) {
-            return false;
-        }
-        if (patternGoesOn != pathGoesOn) {
-            return patternGoesOn && pattern == "**";
-        }
-        if (!patternGoesOn) {
-            return true;
-        }
-    }
-}
-
-RouteMatch matchRoute(const ServiceDocument &document, std::string_view method, std::string_view path)
-{
-    static const Route everything;
-    if (document.routes.empty()) {
-        return {.route = &everything, .allowedMethods = {}};
-    }
-    RouteMatch match;
-    for (const Route &route : document.routes) {
-        if (!matchesPath(route.path, path)) {
-            continue;
-        }
-        if (route.method == "*" || route.method == method) {
-            return {.route = &route, .allowedMethods = {}};
-        }
-        match.allowedMethods.push_back(route.method);
-    }
-    return match;
-}
-
 void ServiceDirectory::replace(std::vector<SharedDocument> documents)
 {
     std::sort(documents.begin(), documents.end(), [](const SharedDocument &left, const SharedDocument &right) {
         return left->service < right->service;
     });
-    auto hosts = std::make_shared<Hosts>();
+    absl::flat_hash_map<const ServiceDocument *, Entry> known;
+    for (const auto &[host, entry] : *hosts()) {
+        known.emplace(entry->document.get(), entry);
+    }
+    auto updated = std::make_shared<Hosts>();
     for (const SharedDocument &document : documents) {
+        const auto found = known.find(document.get());
+        const Entry entry = found != known.end() ? found->second : std::make_shared<DirectoryEntry>(compile(document));
         if (document->hosts.empty()) {
-            hosts->try_emplace(hostKey(document->service.value()), document);
+            updated->try_emplace(hostKey(document->service.value()), entry);
         }
         for (const std::string &host : document->hosts) {
-            hosts->try_emplace(hostKey(host), document);
+            updated->try_emplace(hostKey(host), entry);
         }
     }
     const absl::MutexLock lock(&m_mutex);
-    m_hosts = std::move(hosts);
+    m_hosts = std::move(updated);
 }
 
-SharedDocument ServiceDirectory::find(std::string_view host) const
+std::shared_ptr<const ServiceDirectory::Hosts> ServiceDirectory::hosts() const
 {
-    std::shared_ptr<const Hosts> hosts;
-    {
-        const absl::ReaderMutexLock lock(&m_mutex);
-        hosts = m_hosts;
-    }
-    const auto found = hosts->find(hostKey(host));
-    return found == hosts->end() ? nullptr : found->second;
+    const absl::ReaderMutexLock lock(&m_mutex);
+    return m_hosts;
+}
+
+std::shared_ptr<const DirectoryEntry> ServiceDirectory::find(std::string_view host) const
+{
+    const std::shared_ptr<const Hosts> current = hosts();
+    const auto found = current->find(hostKey(host));
+    return found == current->end() ? nullptr : found->second;
+}
+
+bool ServiceDirectory::empty() const
+{
+    return hosts()->empty();
 }
 
 } // namespace Filbertmount
--- /dev/null
+++ b/tests/proxy/runstatetest.cpp
@@ -0,0 +1,318 @@
+// What callers are told about requests that failed, and that nothing runs more often than allowed.
+#include "proxy/testentry.h"
+
+#include <absl/synchronization/notification.h>
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+
+using namespace Filbertmount;
+using namespace Filbertmount::Testing;
+
+namespace {
+
+const std::vector<Route> NotRepeatable = {{.repeatable = false}};
+const std::vector<Route> Repeatable = {{.repeatable = true}};
+
+std::string closedAddress()
+{
+    TestSocket listener = TestSocket::listening();
+    const std::uint16_t port = listener.port();
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+TestUpstream::Script refuseWith(const std::string &reason)
+{
+    return always(answerWith("503 Service Unavailable", "", "Request-Not-Run: " + reason + "\r\nRetry-After: 7\r\n"));
+}
+
+std::string endlessHeader()
+{
+    std::string answer = "HTTP/1.1 200 OK\r\n";
+    for (int line = 0; line < 40; ++line) {
+        answer += "X: " + std::string(1000, 'x') + "\r\n";
+    }
+    return answer;
+}
+
+bool closeWithoutAnswer(const TestMessage &, TestSocket &)
+{
+    return false;
+}
+
+void checkProblem(const TestMessage &answer, int status, const std::string &run)
+{
+    CHECK(answer.status() == status);
+    CHECK(answer.header("Filbertmount-Run") == run);
+    CHECK(answer.header("Content-Type") == "application/problem+json");
+    CHECK_FALSE(answer.header("Filbertmount-Request-Id").empty());
+    const nlohmann::json body = nlohmann::json::parse(answer.body, nullptr, false);
+    REQUIRE(body.is_object());
+    CHECK(body["status"] == status);
+    CHECK(body["run"] == run);
+    CHECK(body["retry"].is_boolean());
+}
+
+} // namespace
+
+TEST_CASE("libcurl does not repeat a request whose reused connection died")
+{
+    // The first request leaves an open connection behind; the second one runs on it and gets no answer.
+    const auto dyingSecond = [](std::atomic<int> &executions) {
+        return [&executions](const TestMessage &, TestSocket &socket) {
+            return ++executions == 1 && socket.send(answerWith("200 OK", "first"));
+        };
+    };
+    for (const bool repeatable : {false, true}) {
+        CAPTURE(repeatable);
+        std::atomic<int> executions = 0;
+        TestUpstream upstream(dyingSecond(executions));
+        TestEntry entry({.upstreams = {upstream.address()}, .routes = {{.repeatable = repeatable}}});
+        CHECK(entry.call(request("GET /", "Filbertmount-Retries-Left: 0\r\n")).body == "first");
+        checkProblem(entry.call(request("GET /", "Filbertmount-Retries-Left: 0\r\n")), 502, "may-have-run");
+        CHECK(executions == 2);
+    }
+}
+
+TEST_CASE("a request that may not be repeated uses a connection of its own")
+{
+    TestUpstream upstream(always(answerWith("200 OK", "")));
+    TestEntry entry({.upstreams = {upstream.address()}, .routes = NotRepeatable});
+    for (int round = 0; round < 3; ++round) {
+        CHECK(entry.call(request("POST /")).status() == 200);
+    }
+    CHECK(upstream.connections() == 3);
+}
+
+TEST_CASE("errors say whether the request ran")
+{
+    struct Case {
+        std::string name;
+        std::vector<Route> routes;
+        TestUpstream::Script script; // Null stands for an address where nobody listens.
+        int status;
+        std::string run;
+    };
+    const Case cases[] = {
+        {"nobody listens", NotRepeatable, nullptr, 502, "not-run"},
+        {"closed without an answer", NotRepeatable, closeWithoutAnswer, 502, "may-have-run"},
+        {"documented refusal", NotRepeatable, refuseWith("draining"), 503, "not-run"},
+        {"refusal of a repeatable request", Repeatable, refuseWith("shedding"), 503, "not-run"},
+        {"garbage", NotRepeatable, always("SSH-2.0-OpenSSH\r\n\r\n"), 502, "may-have-run"},
+        {"garbage to a repeatable request", Repeatable, always("\1\2\3\r\n\r\n"), 502, "may-have-run"},
+        {"endless header", NotRepeatable, always(endlessHeader()), 502, "may-have-run"},
+        {"breaks off in a short answer",
+         NotRepeatable,
+         [](const TestMessage &, TestSocket &socket) {
+             socket.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+             return false;
+         },
+         502,
+         "may-have-run"},
+    };
+    for (const Case &row : cases) {
+        CAPTURE(row.name);
+        TestUpstream upstream(row.script ? row.script : closeWithoutAnswer);
+        TestEntry entry({.upstreams = {row.script ? upstream.address() : closedAddress()}, .routes = row.routes});
+        checkProblem(entry.call(request("GET /")), row.status, row.run);
+        const int attempts = row.script == nullptr ? 0 : row.run == "not-run" || row.routes.front().repeatable ? 3 : 1;
+        CHECK(upstream.requests() == attempts);
+    }
+}
+
+TEST_CASE("only a documented refusal or a failed connection lets a request that may not be repeated go on")
+{
+    struct Case {
+        std::string name;
+        TestUpstream::Script first;
+        bool answered;
+    };
+    const Case cases[] = {
+        {"draining", refuseWith("draining"), true},
+        {"starting", refuseWith("Starting"), true},
+        {"unknown reason", refuseWith("lunch"), false},
+        {"503 without the header", always(answerWith("503 Service Unavailable", "")), false},
+        {"500 with the header", always(answerWith("500 Error", "", "Request-Not-Run: draining\r\n")), false},
+        {"no answer", closeWithoutAnswer, false},
+    };
+    for (const Case &row : cases) {
+        CAPTURE(row.name);
+        std::atomic<int> firstRuns = 0;
+        TestUpstream first([&](const TestMessage &message, TestSocket &socket) {
+            ++firstRuns;
+            return row.first(message, socket);
+        });
+        TestUpstream second(always(answerWith("200 OK", "done")));
+        // The router picks at random, so requests are sent until the first upstream was the first choice.
+        TestEntry entry({.upstreams = {first.address(), second.address()}, .routes = NotRepeatable});
+        while (firstRuns == 0) {
+            const int secondBefore = second.requests();
+            const TestMessage answer = entry.call(request("POST /orders", {}, "order"));
+            if (firstRuns > 0) {
+                CHECK((answer.body == "done") == row.answered);
+                CHECK(second.requests() - secondBefore == (row.answered ? 1 : 0));
+            }
+        }
+        CHECK(firstRuns == 1);
+    }
+}
+
+TEST_CASE("a repeatable request is tried again with its body while the call tree has attempts left")
+{
+    struct Case {
+        std::string headers;
+        int attempts;
+    };
+    const Case cases[] = {
+        {"", 3},
+        {"Filbertmount-Retries-Left: 1\r\n", 2},
+        {"Filbertmount-Retries-Left: 0\r\n", 1},
+        {"Filbertmount-Retries-Left: 99\r\n", 3},
+        {"Filbertmount-Retries-Left: many\r\n", 3},
+        {"Filbertmount-Depth: 1\r\n", 1},
+        {"Filbertmount-Depth: 4\r\nFilbertmount-Retries-Left: 2\r\n", 3},
+    };
+    for (const Case &row : cases) {
+        CAPTURE(row.headers);
+        std::vector<std::string> left;
+        std::vector<std::string> bodies;
+        TestUpstream upstream([&](const TestMessage &message, TestSocket &) {
+            left.push_back(message.header("Filbertmount-Retries-Left"));
+            bodies.push_back(message.body);
+            return false;
+        });
+        TestEntry entry({.upstreams = {upstream.address()}});
+        const TestMessage answer = entry.call(request("PUT /", row.headers, "shirt"));
+        checkProblem(answer, 502, "may-have-run");
+        CHECK(answer.header("Filbertmount-Retries-Left") == "0");
+        REQUIRE(left.size() == static_cast<std::size_t>(row.attempts));
+        for (std::size_t index = 0; index < left.size(); ++index) {
+            CHECK(left[index] == std::to_string(row.attempts - 1 - static_cast<int>(index)));
+            CHECK(bodies[index] == "shirt");
+        }
+    }
+}
+
+TEST_CASE("an error answer limits the attempts to what it says is left")
+{
+    struct Case {
+        std::string headers;
+        int attempts;
+    };
+    for (const Case &row :
+         {Case{"", 1}, Case{"Filbertmount-Retries-Left: 0\r\n", 1}, Case{"Filbertmount-Retries-Left: 1\r\n", 2}}) {
+        CAPTURE(row.headers);
+        TestUpstream upstream(always(answerWith("502 Bad Gateway", "below", row.headers)));
+        TestEntry entry({.upstreams = {upstream.address()}});
+        CHECK(entry.call(request("GET /")).body == "below");
+        CHECK(upstream.requests() == row.attempts);
+    }
+}
+
+TEST_CASE("a repeatable request is not tried again once a part of the answer was passed on")
+{
+    TestUpstream upstream([](const TestMessage &, TestSocket &socket) {
+        socket.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+        return false;
+    });
+    TestEntry entry({.upstreams = {upstream.address()}});
+    TestSocket caller = entry.connect();
+    caller.send(request("GET /"));
+    CHECK_FALSE(readMessage(caller).whole);
+    CHECK(caller.closedByPeer());
+    CHECK(upstream.requests() == 1);
+}
+
+TEST_CASE("a body that is too long to keep is sent only once")
+{
+    TestUpstream upstream([](const TestMessage &, TestSocket &) {
+        return false;
+    });
+    TestEntry entry({.upstreams = {upstream.address()}});
+    checkProblem(entry.call(request("PUT /", {}, std::string(300000, 'x'))), 502, "may-have-run");
+    CHECK(upstream.requests() == 1);
+}
+
+TEST_CASE("the context of a call goes to the next level")
+{
+    TestMessage seen;
+    TestUpstream upstream([&](const TestMessage &message, TestSocket &socket) {
+        seen = message;
+        return socket.send(answerWith("200 OK", ""));
+    });
+    TestEntry entry({.upstreams = {upstream.address()}});
+    entry.call(request("GET /"));
+    CHECK(seen.header("Filbertmount-Depth") == "1");
+    CHECK(seen.header("Filbertmount-Request-Id").size() == 16);
+    CHECK(std::stol(seen.header("Filbertmount-Deadline-Ms")) <= 10000);
+
+    entry.call(
+        request("GET /", "filbertmount-depth: 7\r\nFilbertmount-Request-Id: order-5\r\nFilbertmount-Deadline-Ms: 5000\r\n"));
+    CHECK(seen.header("Filbertmount-Depth") == "8");
+    CHECK(seen.header("Filbertmount-Request-Id") == "order-5");
+    const long left = std::stol(seen.header("Filbertmount-Deadline-Ms"));
+    CHECK(left > 0);
+    CHECK(left <= 5000);
+    CHECK(seen.header("Host") == "shop");
+
+    const TestMessage tooDeep = entry.call(request("GET /", "Filbertmount-Depth: 32\r\n"));
+    CHECK(tooDeep.status() == 400);
+    CHECK(tooDeep.header("Filbertmount-Run") == "not-run");
+}
+
+TEST_CASE("the deadline ends a request")
+{
+    absl::Notification finished;
+    TestUpstream upstream([&](const TestMessage &, TestSocket &socket) {
+        const bool closed = socket.closedByPeer();
+        CHECK(closed);
+        finished.Notify();
+        return false;
+    });
+    TestEntry entry({.upstreams = {upstream.address()}, .routes = NotRepeatable});
+    checkProblem(entry.call(request("GET /", "Filbertmount-Deadline-Ms: 50\r\n")), 504, "may-have-run");
+    finished.WaitForNotification();
+    checkProblem(entry.call(request("GET /", "Filbertmount-Deadline-Ms: 0\r\n")), 504, "not-run");
+    CHECK(upstream.requests() == 1);
+}
+
+TEST_CASE("a caller that hangs up cancels only work that may be repeated")
+{
+    for (const bool repeatable : {true, false}) {
+        CAPTURE(repeatable);
+        absl::Notification arrived;
+        absl::Notification callerLeft;
+        absl::Notification finished;
+        bool closed = false;
+        std::atomic<int> calls = 0;
+        TestUpstream upstream([&](const TestMessage &, TestSocket &socket) {
+            if (++calls > 1) {
+                return socket.send(answerWith("200 OK", "next"));
+            }
+            arrived.Notify();
+            callerLeft.WaitForNotification();
+            if (repeatable) {
+                closed = socket.closedByPeer();
+            } else {
+                // Long enough for a wrong cancellation to arrive, which would make the second part fail.
+                socket.send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\ndone");
+                std::this_thread::sleep_for(std::chrono::milliseconds(100));
+                closed = !socket.send("done");
+            }
+            finished.Notify();
+            return true;
+        });
+        TestEntry entry({.upstreams = {upstream.address()}, .routes = {{.repeatable = repeatable}}});
+        {
+            TestSocket caller = entry.connect();
+            caller.send(request("GET /"));
+            arrived.WaitForNotification();
+        }
+        callerLeft.Notify();
+        finished.WaitForNotification();
+        CHECK(closed == repeatable);
+        CHECK(entry.call(request("GET /")).body == "next");
+    }
+}
--- /dev/null
+++ b/tests/proxy/streamingtest.cpp
@@ -0,0 +1,220 @@
+#include "proxy/testentry.h"
+
+#include <absl/synchronization/notification.h>
+#include <doctest/doctest.h>
+
+#include <atomic>
+
+using namespace Filbertmount;
+using namespace Filbertmount::Testing;
+
+namespace {
+
+std::string pattern(std::size_t size)
+{
+    std::string text(size, ' ');
+    for (std::size_t index = 0; index < size; ++index) {
+        text[index] = static_cast<char>('a' + (index * 7 + index / 4096) % 26);
+    }
+    return text;
+}
+
+std::string chunk(const std::string &data)
+{
+    std::array<char, 24> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    return size.data() + data + "\r\n";
+}
+
+} // namespace
+
+TEST_CASE("bodies of all sizes arrive unchanged in both directions")
+{
+    TestUpstream upstream([](const TestMessage &message, TestSocket &socket) {
+        return socket.send(answerWith("200 OK", message.body));
+    });
+    TestEntry entry({.upstreams = {upstream.address()}});
+    for (const std::size_t size :
+         {std::size_t{1}, std::size_t{65535}, std::size_t{65536}, std::size_t{65537}, std::size_t{3000000}}) {
+        CAPTURE(size);
+        const std::string body = pattern(size);
+        const TestMessage answer = entry.call(request("PUT /file", {}, body));
+        CHECK(answer.status() == 200);
+        CHECK(answer.whole);
+        CHECK((answer.body == body)); // Without the bodies in the output.
+    }
+}
+
+TEST_CASE("a chunked body goes through, with its length stated when it is short")
+{
+    TestUpstream upstream([](const TestMessage &message, TestSocket &socket) {
+        return socket.send(answerWith("200 OK", message.body, "X-Length: " + message.header("Content-Length") + "\r\n"));
+    });
+    TestEntry entry({.upstreams = {upstream.address()}});
+    const std::string head = request("POST /file", "Transfer-Encoding: chunked\r\n");
+
+    const TestMessage small = entry.call(head + chunk("abc") + chunk("defg") + "0\r\n\r\n");
+    CHECK(small.body == "abcdefg");
+    CHECK(small.header("X-Length") == "7");
+
+    const std::string half = pattern(200000);
+    const TestMessage large = entry.call(head + chunk(half) + chunk(half) + "0\r\n\r\n");
+    CHECK((large.body == half + half));
+    CHECK(large.header("X-Length").empty());
+}
+
+TEST_CASE("an answer is passed on before it is whole")
+{
+    absl::Notification firstPartSeen;
+    TestUpstream upstream([&](const TestMessage &, TestSocket &socket) {
+        socket.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("first"));
+        firstPartSeen.WaitForNotification();
+        return socket.send(chunk("second") + "0\r\n\r\n");
+    });
+    TestEntry entry({.upstreams = {upstream.address()}});
+    TestSocket caller = entry.connect();
+    caller.send(request("GET /stream"));
+    REQUIRE(caller.readThrough("first\r\n"));
+    firstPartSeen.Notify();
+    CHECK(caller.readThrough("second\r\n0\r\n\r\n"));
+}
+
+TEST_CASE("a caller that does not read stops the upstream instead of filling memory")
+{
+    constexpr std::size_t size = std::size_t{64} << 20U;
+    std::atomic<std::size_t> sent = 0;
+    absl::Notification stuck;
+    TestUpstream upstream([&](const TestMessage &, TestSocket &socket) {
+        socket.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n");
+        const std::string block = pattern(std::size_t{64} << 10U);
+        for (std::size_t position = 0; position < size; position += block.size()) {
+            if (!socket.send(block)) {
+                return false;
+            }
+            sent += block.size();
+        }
+        return true;
+    });
+    TestEntry entry({.upstreams = {upstream.address()}});
+    TestSocket caller = entry.connect();
+    caller.send(request("GET /large"));
+    // The upstream stops when the socket buffers and the entry's own buffer are full.
+    std::size_t before = 1;
+    while (before != sent || before == 0) {
+        before = sent;
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    CHECK(sent < size / 2);
+    const TestMessage answer = readMessage(caller);
+    CHECK(answer.whole);
+    CHECK(answer.body.size() == size);
+}
+
+TEST_CASE("an upstream that does not read stops the caller instead of filling memory")
+{
+    absl::Notification readOn;
+    TestSocket listener = TestSocket::listening();
+    std::string received;
+    std::thread upstream([&] {
+        TestSocket socket = listener.accept();
+        readOn.WaitForNotification();
+        const TestMessage message = readMessage(socket);
+        received = message.body;
+        socket.send(answerWith("200 OK", "done"));
+        socket.readToEnd();
+    });
+    {
+        TestEntry entry(
+            {.upstreams = {"127.0.0.1:" + std::to_string(listener.port())}, .limits = {.maxBodyBytes = std::int64_t{1} << 30U}});
+        constexpr std::size_t size = std::size_t{64} << 20U;
+        std::atomic<std::size_t> sent = 0;
+        TestSocket caller = entry.connect();
+        std::thread writer([&] {
+            caller.send("PUT /large HTTP/1.1\r\nHost: shop\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n");
+            const std::string block = pattern(std::size_t{64} << 10U);
+            for (std::size_t position = 0; position < size && caller.send(block); position += block.size()) {
+                sent += block.size();
+            }
+        });
+        std::size_t before = 1;
+        while (before != sent || before == 0) {
+            before = sent;
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        }
+        CHECK(sent < size / 2);
+        readOn.Notify();
+        CHECK(readMessage(caller).body == "done");
+        writer.join();
+        CHECK(sent == size);
+    }
+    upstream.join();
+    CHECK(received.size() == std::size_t{64} << 20U);
+}
+
+TEST_CASE("headers of one connection are not passed on in either direction")
+{
+    TestMessage seen;
+    TestUpstream upstream([&](const TestMessage &message, TestSocket &socket) {
+        seen = message;
+        return socket.send(
+            answerWith("200 OK", "", "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=5\r\nX-End: 2\r\n"));
+    });
+    TestEntry entry({.upstreams = {upstream.address()}});
+    const TestMessage answer = entry.call(
+        request("GET /", "Connection: X-Mine\r\nX-Mine: 1\r\nTE: trailers\r\nUpgrade: h2c\r\nX-End: 3\r\nX-Empty:\r\n"));
+    CHECK(seen.header("X-End") == "3");
+    CHECK(seen.headerLines.find("X-Empty:") != std::string::npos);
+    for (const char *name : {"X-Mine", "TE", "Upgrade", "Connection"}) {
+        CAPTURE(name);
+        CHECK(seen.header(name).empty());
+    }
+    CHECK(answer.header("X-End") == "2");
+    CHECK(answer.header("X-Hop").empty());
+    CHECK(answer.header("Keep-Alive").empty());
+}
+
+TEST_CASE("an answer that breaks off is visibly truncated for the caller")
+{
+    struct Case {
+        std::string name;
+        std::string answer;
+    };
+    const std::string part = pattern(100000);
+    const Case cases[] = {
+        {"stated length", "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + part},
+        {"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(part)},
+        {"within a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n" + part},
+    };
+    for (const Case &row : cases) {
+        CAPTURE(row.name);
+        TestUpstream upstream([&](const TestMessage &, TestSocket &socket) {
+            socket.send(row.answer);
+            return false;
+        });
+        TestEntry entry({.upstreams = {upstream.address()}});
+        const TestMessage answer = entry.call(request("GET /"));
+        CHECK(answer.status() == 200);
+        CHECK_FALSE(answer.whole);
+    }
+}
+
+TEST_CASE("answers without a body keep their head")
+{
+    TestUpstream upstream([](const TestMessage &message, TestSocket &socket) {
+        if (message.startLine.starts_with("HEAD")) {
+            return socket.send("HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n");
+        }
+        return socket.send(message.startLine.starts_with("GET /304") ? "HTTP/1.1 304 Not Modified\r\nETag: \"x\"\r\n\r\n"
+                                                                     : "HTTP/1.1 204 No Content\r\n\r\n");
+    });
+    TestEntry entry({.upstreams = {upstream.address()}});
+    TestSocket caller = entry.connect();
+    caller.send(request("HEAD /"));
+    CHECK(readMessage(caller, true).header("Content-Length") == "1234");
+    caller.send(request("GET /304"));
+    const TestMessage notModified = readMessage(caller, true);
+    CHECK(notModified.status() == 304);
+    CHECK(notModified.header("ETag") == "\"x\"");
+    caller.send(request("DELETE /204"));
+    CHECK(readMessage(caller, true).status() == 204);
+}
