--- /dev/null
+++ b/include/filbertmount/routing/memberregistry.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <filbertmount/routing/routedupstream.h>
+#include <filbertmount/types/ids.h>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace Filbertmount {
+
+/** Numbers the entry instances of the region. Positions of members that left are used again. Not thread-safe. */
+class MemberRegistry
+{
+public:
+    /** @p self gets SelfMember. */
+    explicit MemberRegistry(const InstanceId &self);
+
+    /** Sets the live members; the instance itself always counts as live. Returns the positions that were given up. */
+    std::vector<MemberIndex> setMembers(std::span<const InstanceId> members);
+
+    /** Returns the position of @p member and creates one for a member that is not in the list yet. */
+    MemberIndex intern(const InstanceId &member);
+    [[nodiscard]] std::optional<MemberIndex> find(const InstanceId &member) const;
+    [[nodiscard]] const InstanceId &id(MemberIndex index) const;
+    [[nodiscard]] const std::vector<InstanceId> &live() const;
+    [[nodiscard]] const std::vector<MemberIndex> &livePositions() const;
+
+    /** Returns the live member with the highest rendezvous hash for @p service. */
+    [[nodiscard]] MemberIndex dispatcherOf(const ServiceName &service) const;
+
+private:
+    std::vector<InstanceId> m_ids;
+    absl::flat_hash_map<InstanceId, MemberIndex> m_positions;
+    std::vector<MemberIndex> m_free;
+    std::vector<InstanceId> m_live;
+    std::vector<MemberIndex> m_livePositions;
+};
+
+} // namespace Filbertmount
--- a/include/filbertmount/routing/placement.h
+++ b/include/filbertmount/routing/placement.h
@@ -35,6 +35,8 @@
     std::uint64_t grant = 0;
     /** The dispatcher that gave the grant; empty when the instance chose by itself. */
     InstanceId dispatcher;
+    /** Team whose share of the entry instance the attempt takes. */
+    TeamName team;
 };
 
 enum class RefusalReason : std::uint8_t {
--- /dev/null
+++ b/include/filbertmount/routing/retrybudget.h
@@ -0,0 +1,29 @@
+#pragma once
+
+namespace Filbertmount {
+
+/**
+ * Token bucket that limits extra attempts to a share of the first attempts. Not thread-safe.
+ *
+ * Starts with one token, so that a service with little traffic can retry at all; after that, extra attempts stay
+ * below percent/100 * first attempts + 1.
+ */
+class RetryBudget
+{
+public:
+    /** @param percent extra attempts per first attempt, in percent */
+    explicit RetryBudget(double percent);
+
+    void setPercent(double percent);
+    void noteFirstAttempt();
+    /** Takes one token; returns false when there is none. */
+    bool take();
+    /** Gives a token back whose attempt was not made. */
+    void giveBack();
+
+private:
+    double m_percent;
+    double m_tokens = 1;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/include/filbertmount/routing/servicerouter.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <filbertmount/routing/slotclient.h>
+#include <filbertmount/routing/slotdispatcher.h>
+#include <filbertmount/routing/upstreamtable.h>
+
+#include <optional>
+#include <span>
+
+namespace Filbertmount {
+
+struct ServiceRouterOptions {
+    UpstreamTableOptions table;
+    SlotDispatcherOptions dispatcher;
+    SlotClientOptions client;
+    /** Time without requests after which an instance that is no longer the dispatcher stops acting as one. */
+    Duration dispatcherIdle = std::chrono::seconds(2);
+};
+
+/** What follows from one input: messages to other members and decisions on own requests. */
+struct ServiceRouterOutput {
+    SlotOutbox messages;
+    SlotDecisions decisions;
+
+    void clear();
+};
+
+/**
+ * All routing decisions of one service in one entry instance: upstream table, client and, where due, dispatcher.
+ *
+ * Sans-I/O and not thread-safe. Messages between client and dispatcher of the same instance do not leave it.
+ */
+class ServiceRouter
+{
+public:
+    explicit ServiceRouter(ServiceRouterOptions options);
+    ServiceRouter(const ServiceRouter &) = delete;
+    ServiceRouter &operator=(const ServiceRouter &) = delete;
+
+    void setOptions(const UpstreamTableOptions &table, const SlotDispatcherOptions &dispatcher);
+    void updateUpstreams(std::span<const RoutedUpstream> upstreams, Instant now, ServiceRouterOutput &output);
+    void setUpstreamState(UpstreamIndex index, UpstreamState state, Instant now, ServiceRouterOutput &output);
+
+    /** Sets the dispatcher and the live members, the instance itself included. */
+    void setDispatcher(std::optional<MemberIndex> dispatcher,
+                       std::span<const MemberIndex> members,
+                       Instant now,
+                       ServiceRouterOutput &output);
+    void removeMember(MemberIndex member, Instant now, ServiceRouterOutput &output);
+
+    void request(SlotRequest request, Instant now, ServiceRouterOutput &output);
+    void release(const SlotPlacement &placement, const AttemptReport &report, Instant now, ServiceRouterOutput &output);
+    void handle(MemberIndex from, const SlotMessage &message, Instant now, ServiceRouterOutput &output);
+    /** A grant of an upstream that is not in the table. */
+    void handleUnknownUpstream(MemberIndex from, const SlotGrant &grant, Instant now, ServiceRouterOutput &output);
+    /** Call every millisecond or few. */
+    void tick(Instant now, ServiceRouterOutput &output);
+
+    [[nodiscard]] const UpstreamTable &table() const;
+    [[nodiscard]] const SlotClient &client() const;
+    [[nodiscard]] const SlotDispatcher &dispatcher() const;
+
+private:
+    void deliver(MemberIndex from, const SlotMessage &message, Instant now, SlotDecisions &decisions);
+    /** Delivers messages of the instance to itself and appends the others to @p output. */
+    void flush(Instant now, ServiceRouterOutput &output);
+
+    ServiceRouterOptions m_options;
+    UpstreamTable m_table;
+    SlotClient m_client;
+    SlotDispatcher m_dispatcher;
+    SlotOutbox m_outbox;
+    Instant m_lastAsked{};
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/include/filbertmount/routing/slotdispatcher.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <filbertmount/routing/slotmessages.h>
+#include <filbertmount/routing/slotqueue.h>
+#include <filbertmount/routing/slotselector.h>
+#include <filbertmount/routing/upstreamtable.h>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <boost/circular_buffer.hpp>
+
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace Filbertmount {
+
+struct SlotDispatcherOptions {
+    /** Requests that wait for a slot. */
+    std::size_t queue = 200;
+    /** After a take-over, requests wait this long at most for the reports of the other members. */
+    Duration reportWait = std::chrono::milliseconds(20);
+};
+
+/**
+ * Grants the slots of one service's upstreams to the entry instances of a region.
+ *
+ * Sans-I/O: takes messages with the time of their arrival and appends answers to an outbox. Not thread-safe.
+ */
+class SlotDispatcher
+{
+public:
+    /** @p table must outlive the dispatcher; it is fed with the reports of all members. */
+    SlotDispatcher(UpstreamTable &table, SlotDispatcherOptions options);
+
+    void setOptions(const SlotDispatcherOptions &options);
+
+    /** Takes over: forgets all counts and waits for the reports of @p members. */
+    void start(std::span<const MemberIndex> members, Instant now);
+    /** Stops and forgets queue and counts; the members find the next dispatcher themselves. */
+    void stop();
+    [[nodiscard]] bool isRunning() const;
+
+    void handle(MemberIndex from, const SlotRequest &request, Instant now, SlotOutbox &outbox);
+    void handle(MemberIndex from, const SlotRelease &release, Instant now, SlotOutbox &outbox);
+    void handle(MemberIndex from, const InFlightReport &report, Instant now, SlotOutbox &outbox);
+
+    /** Gives the slots of a member that died back and drops what it queued. */
+    void removeMember(MemberIndex member, Instant now, SlotOutbox &outbox);
+    /** Call after each change of the table that did not come through this class. */
+    void upstreamsChanged(Instant now, SlotOutbox &outbox);
+    /** Call every few milliseconds. */
+    void tick(Instant now, SlotOutbox &outbox);
+
+    [[nodiscard]] int inFlight(UpstreamIndex index) const;
+    [[nodiscard]] std::size_t queued() const;
+    [[nodiscard]] std::uint64_t grants() const;
+    [[nodiscard]] const SlotSelector &selector() const;
+
+private:
+    struct Grant {
+        MemberIndex member = 0;
+        UpstreamIndex upstream = 0;
+        Instant start;
+    };
+
+    struct OverdueCheck {
+        Instant at;
+        std::uint64_t grant = 0;
+    };
+
+    void serve(Instant now, SlotOutbox &outbox);
+    void grant(MemberIndex member, const SlotRequest &request, UpstreamIndex upstream, Instant now, SlotOutbox &outbox);
+    void refuse(MemberIndex member, std::uint64_t request, RefusalReason reason, SlotOutbox &outbox) const;
+    bool makeRoom(Priority priority, SlotOutbox &outbox);
+    void enqueue(MemberIndex member, const SlotRequest &request, Instant now, SlotOutbox &outbox);
+    void announce(SlotQueue::Entry &entry, std::size_t ahead, Instant now, SlotOutbox &outbox) const;
+    void reviewQueue(Instant now, SlotOutbox &outbox);
+    void scheduleCheck(std::uint64_t grant, Instant now);
+    void checkOverdue(Instant now);
+    [[nodiscard]] bool hasUpstreamFor(const SlotRequest &request) const;
+    UpstreamIndex chooseFor(const SlotRequest &request);
+    [[nodiscard]] Duration expectedWait(std::size_t ahead) const;
+    [[nodiscard]] double largestSlowness() const;
+    [[nodiscard]] bool isWaitingForReports(Instant now) const;
+    void addInFlight(UpstreamIndex index, int change);
+    void dropCounts(MemberIndex member, std::uint64_t lastGrant);
+    void refreshChanged();
+    void ensureSize();
+
+    UpstreamTable &m_table;
+    SlotDispatcherOptions m_options;
+    SlotQueue m_queue;
+    SlotSelector m_selector;
+    std::vector<int> m_inFlight;
+    absl::flat_hash_map<std::uint64_t, Grant> m_grants;
+    boost::circular_buffer<OverdueCheck> m_checks;
+    /** Attempts that only a report told of, by member and upstream. */
+    absl::flat_hash_map<std::pair<MemberIndex, UpstreamIndex>, int> m_reported;
+    std::vector<MemberIndex> m_missingReports;
+    Instant m_started{};
+    std::uint64_t m_lastGrant = 0;
+    bool m_isRunning = false;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/include/filbertmount/routing/slotselector.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <filbertmount/routing/upstreamtable.h>
+
+#include <memory>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace Filbertmount {
+
+class TournamentTree;
+
+/**
+ * Finds the free slot with the fastest recent service time, in the requester's zone while that is nearly as fast.
+ *
+ * Keeps one tournament tree per availability zone, so that a choice costs O(zones + log upstreams). Not thread-safe.
+ */
+class SlotSelector
+{
+public:
+    static constexpr UpstreamIndex None = ~UpstreamIndex{0};
+
+    SlotSelector();
+    ~SlotSelector();
+    SlotSelector(const SlotSelector &) = delete;
+    SlotSelector &operator=(const SlotSelector &) = delete;
+
+    /** Brings one upstream's place in the order up to date. */
+    void refresh(const UpstreamTable &table, UpstreamIndex index, int inFlight);
+
+    /**
+     * Returns the best upstream with a free slot that is not in @p excluded, or None.
+     *
+     * @param largestSlowness upstreams that are slower than this multiple of the service's mean are left out
+     */
+    UpstreamIndex choose(std::string_view zone, std::span<const UpstreamIndex> excluded, double largestSlowness);
+
+    /** Returns a view of @p name that lives as long as this object; empty when no upstream is in that zone. */
+    [[nodiscard]] std::string_view knownZone(std::string_view name) const;
+
+    /** Key changes in all trees so far; a measure of work that does not depend on the machine. */
+    [[nodiscard]] std::uint64_t keyChanges() const;
+
+private:
+    struct Zone;
+    struct Place {
+        std::size_t zone = 0;
+        std::size_t leaf = 0;
+        bool isKnown = false;
+        double key = 0;
+    };
+
+    Zone &zoneOf(std::string_view name);
+    void ensurePlace(const UpstreamTable &table, UpstreamIndex index);
+    void setKey(const Place &place, double key);
+
+    std::vector<std::unique_ptr<Zone>> m_zones;
+    std::vector<Place> m_places;
+    std::uint64_t m_keyChanges = 0;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/routing/admissioncontrol.cpp
@@ -0,0 +1,57 @@
+#include <filbertmount/routing/admissioncontrol.h>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+AdmissionControl::AdmissionControl(AdmissionOptions options)
+    : m_options(options)
+{
+}
+
+bool AdmissionControl::admit(const TeamName &team, Priority priority)
+{
+    const auto position = m_heldByTeam.try_emplace(team, 0).first;
+    if (!mayAdmit(position->second, priority)) {
+        return false;
+    }
+    if (position->second == 0) {
+        ++m_activeTeams;
+    }
+    ++position->second;
+    ++m_held;
+    return true;
+}
+
+bool AdmissionControl::mayAdmit(int heldByTeam, Priority priority) const
+{
+    const double usable = priority == Priority::Patient ? m_options.capacity * m_options.patientShare : m_options.capacity;
+    if (m_held >= usable) {
+        return false;
+    }
+    if (m_held < m_options.capacity * m_options.fairShareFrom) {
+        return true;
+    }
+    const int teams = std::max(1, m_activeTeams + (heldByTeam == 0 ? 1 : 0));
+    return heldByTeam < std::max(1, m_options.capacity / teams);
+}
+
+void AdmissionControl::finish(const TeamName &team)
+{
+    const auto position = m_heldByTeam.find(team);
+    if (position == m_heldByTeam.end() || position->second == 0) {
+        return;
+    }
+    --position->second;
+    --m_held;
+    if (position->second == 0) {
+        --m_activeTeams;
+    }
+}
+
+int AdmissionControl::held() const
+{
+    return m_held;
+}
+
+} // namespace Filbertmount
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,68 +1,433 @@
 #include <filbertmount/routing/router.h>
 
-#include <absl/random/distributions.h>
+#include "routing/slotwire.h"
+
+#include "peer.pb.h"
 
 #include <algorithm>
 
 namespace Filbertmount {
 
-void Router::updateUpstreams(const ServiceName &service, std::vector<RoutedUpstream> upstreams)
+namespace {
+
+constexpr Duration NoDeadline = std::chrono::hours(1);
+
+ServiceRouterOptions serviceOptions(const RouterOptions &options, const ServiceName &service)
 {
-    const absl::MutexLock lock(&m_mutex);
-    std::vector<Candidate> &current = m_services[service];
-    std::vector<Candidate> updated;
-    updated.reserve(upstreams.size());
-    for (RoutedUpstream &upstream : upstreams) {
-        const auto known = std::find_if(current.begin(), current.end(), [&](const Candidate &candidate) {
-            return candidate.upstream.id == upstream.id;
+    ServiceRouterOptions result;
+    result.client.zone = options.zone;
+    result.client.seed = options.seed ^ std::hash<std::string>()(service.value());
+    return result;
+}
+
+} // namespace
+
+struct Router::Service {
+    Service(const ServiceName &serviceName, ServiceRouterOptions options)
+        : name(serviceName)
+        , router(std::move(options))
+    {
+    }
+
+    struct Waiting {
+        PlacementHandler handler;
+        TeamName team;
+    };
+
+    const ServiceName name;
+    absl::Mutex mutex;
+    ServiceRouter router ABSL_GUARDED_BY(mutex);
+    ServiceRouterOutput output ABSL_GUARDED_BY(mutex);
+    absl::flat_hash_map<std::uint64_t, Waiting> waiting ABSL_GUARDED_BY(mutex);
+    std::uint64_t lastRequest ABSL_GUARDED_BY(mutex) = 0;
+    ServiceRouting routing ABSL_GUARDED_BY(mutex);
+    RetryBudget retries ABSL_GUARDED_BY(mutex){RetrySettings().budgetPercent};
+    RetryBudget hedges ABSL_GUARDED_BY(mutex){HedgingSettings().budgetPercent};
+    HedgePolicy hedgePolicy ABSL_GUARDED_BY(mutex);
+};
+
+/** What is to be done once no lock is held. */
+struct Router::Effects {
+    struct Answer {
+        PlacementHandler handler;
+        PlacementResult result;
+    };
+
+    std::vector<Answer> answers;
+    std::vector<std::pair<InstanceId, Wire::Envelope>> messages;
+
+    void addMessage(const InstanceId &to, Wire::Body body)
+    {
+        const auto known = std::find_if(messages.begin(), messages.end(), [&](const auto &message) {
+            return message.first == to;
         });
-        const int inFlight = known == current.end() ? 0 : known->inFlight;
-        updated.push_back({.upstream = std::move(upstream), .inFlight = inFlight});
+        Wire::Envelope &envelope = known != messages.end() ? known->second : messages.emplace_back(to, Wire::Envelope()).second;
+        *envelope.add_bodies() = std::move(body);
     }
-    current = std::move(updated);
+};
+
+ServiceRouting routingOf(const ServiceDocument &document)
+{
+    return {.team = document.team,
+            .coldStart = document.upstreams.coldStart,
+            .retries = document.retries,
+            .hedging = document.hedging,
+            .limits = document.limits};
 }
 
-void Router::place(const PlacementQuery &query, PlacementHandler handler)
+Router::Router(RouterOptions options)
+    : m_options(std::move(options))
+    , m_members(m_options.self)
+    , m_admission(m_options.admission)
 {
-    handler(choose(query));
 }
 
-PlacementResult Router::choose(const PlacementQuery &query)
+Router::~Router() = default;
+
+Instant Router::now() const
+{
+    return m_options.clock ? m_options.clock() : ProcessClock::now();
+}
+
+Router::Service &Router::serviceAt(const ServiceName &name)
+{
+    std::shared_ptr<Service> &service = m_services[name];
+    if (!service) {
+        service = std::make_shared<Service>(name, serviceOptions(m_options, name));
+    }
+    return *service;
+}
+
+std::shared_ptr<Router::Service> Router::find(const ServiceName &name) const
+{
+    const auto service = m_services.find(name);
+    return service == m_services.end() ? nullptr : service->second;
+}
+
+void Router::configure(const ServiceName &name, const ServiceRouting &routing)
 {
-    const absl::MutexLock lock(&m_mutex);
-    const auto service = m_services.find(query.service);
-    if (service == m_services.end()) {
-        return PlacementRefusal{.reason = RefusalReason::UnknownService};
+    Effects effects;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        Service &service = serviceAt(name);
+        const absl::MutexLock serviceLock(&service.mutex);
+        service.routing = routing;
+        service.retries.setPercent(routing.retries.budgetPercent);
+        service.hedges.setPercent(routing.hedging.budgetPercent);
+        service.router.setOptions({.coldStart = routing.coldStart},
+                                  {.queue = static_cast<std::size_t>(std::max(0, routing.limits.queue))});
+        assignDispatcher(service, now(), effects);
     }
-    std::vector<Candidate *> usable;
-    for (Candidate &candidate : service->second) {
-        const auto &excluded = query.excluded;
-        if (std::find(excluded.begin(), excluded.end(), candidate.upstream.id) == excluded.end()) {
-            usable.push_back(&candidate);
+    run(effects);
+}
+
+void Router::removeService(const ServiceName &name)
+{
+    Effects effects;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const std::shared_ptr<Service> service = find(name);
+        if (!service) {
+            return;
+        }
+        m_services.erase(name);
+        const absl::MutexLock serviceLock(&service->mutex);
+        for (auto &[number, waiting] : service->waiting) {
+            finish(waiting.team);
+            effects.answers.push_back({std::move(waiting.handler), PlacementRefusal{.reason = RefusalReason::UnknownService}});
+        }
+        service->waiting.clear();
+    }
+    run(effects);
+}
+
+void Router::updateUpstreams(const ServiceName &name, const std::vector<RoutedUpstream> &upstreams)
+{
+    Effects effects;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        Service &service = serviceAt(name);
+        const absl::MutexLock serviceLock(&service.mutex);
+        service.router.updateUpstreams(upstreams, now(), service.output);
+        assignDispatcher(service, now(), effects);
+    }
+    run(effects);
+}
+
+void Router::setUpstreamState(const ServiceName &name, const UpstreamId &upstream, UpstreamState state)
+{
+    Effects effects;
+    {
+        const absl::ReaderMutexLock lock(&m_mutex);
+        const std::shared_ptr<Service> service = find(name);
+        if (!service) {
+            return;
+        }
+        const absl::MutexLock serviceLock(&service->mutex);
+        if (const auto index = service->router.table().find(upstream.value())) {
+            service->router.setUpstreamState(*index, state, now(), service->output);
+        }
+        collect(*service, effects);
+    }
+    run(effects);
+}
+
+void Router::setMembers(const std::vector<InstanceId> &members)
+{
+    Effects effects;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const std::vector<MemberIndex> left = m_members.setMembers(members);
+        for (const auto &[name, service] : m_services) {
+            const absl::MutexLock serviceLock(&service->mutex);
+            for (const MemberIndex member : left) {
+                service->router.removeMember(member, now(), service->output);
+            }
+            assignDispatcher(*service, now(), effects);
         }
     }
-    if (usable.empty()) {
-        return PlacementRefusal{.reason = RefusalReason::NoUpstream};
+    run(effects);
+}
+
+void Router::assignDispatcher(Service &service, Instant now, Effects &effects)
+{
+    service.mutex.AssertHeld();
+    service.router.setDispatcher(m_members.dispatcherOf(service.name), m_members.livePositions(), now, service.output);
+    collect(service, effects);
+}
+
+bool Router::handleMessage(const InstanceId &from, const Wire::Body &body)
+{
+    Effects effects;
+    bool isHandled = false;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const std::shared_ptr<Service> service = find(ServiceName(std::string(serviceOf(body))));
+        if (!service) {
+            return false;
+        }
+        isHandled = receive(*service, m_members.intern(from), body, effects);
     }
-    Candidate *first = usable[absl::Uniform<std::size_t>(m_random, 0, usable.size())];
-    Candidate *second = usable[absl::Uniform<std::size_t>(m_random, 0, usable.size())];
-    Candidate *chosen = second->inFlight < first->inFlight ? second : first;
-    ++chosen->inFlight;
-    return Placement{.service = query.service, .upstream = chosen->upstream.id, .address = chosen->upstream.address};
+    run(effects);
+    return isHandled;
 }
 
-void Router::release(const Placement &placement, const AttemptReport & /*report*/)
+bool Router::receive(Service &service, MemberIndex from, const Wire::Body &body, Effects &effects)
 {
-    const absl::MutexLock lock(&m_mutex);
-    const auto service = m_services.find(placement.service);
-    if (service == m_services.end()) {
+    const absl::MutexLock lock(&service.mutex);
+    const ReceivedSlotMessage received = fromWire(body, service.router.table());
+    if (std::holds_alternative<std::monostate>(received)) {
+        return false;
+    }
+    if (const auto *unknown = std::get_if<UnknownUpstreamGrant>(&received)) {
+        service.router.handleUnknownUpstream(from, unknown->grant, now(), service.output);
+    } else {
+        service.router.handle(from, std::get<SlotMessage>(received), now(), service.output);
+    }
+    collect(service, effects);
+    return true;
+}
+
+void Router::place(const PlacementQuery &query, PlacementHandler handler)
+{
+    Effects effects;
+    {
+        const absl::ReaderMutexLock lock(&m_mutex);
+        const std::shared_ptr<Service> service = find(query.service);
+        if (!service) {
+            effects.answers.push_back({std::move(handler), PlacementRefusal{.reason = RefusalReason::UnknownService}});
+        } else {
+            const absl::MutexLock serviceLock(&service->mutex);
+            start(*service, query, std::move(handler), effects);
+        }
+    }
+    run(effects);
+}
+
+void Router::start(Service &service, const PlacementQuery &query, PlacementHandler handler, Effects &effects)
+{
+    service.mutex.AssertHeld();
+    if (!admit(service.routing.team, query.priority)) {
+        const PlacementRefusal refusal{.reason = RefusalReason::Shed, .retryAfter = service.router.table().meanServiceTime()};
+        effects.answers.push_back({std::move(handler), refusal});
         return;
     }
-    for (Candidate &candidate : service->second) {
-        if (candidate.upstream.id == placement.upstream && candidate.inFlight > 0) {
-            --candidate.inFlight;
+    if (!query.hedge && query.excluded.empty()) {
+        service.retries.noteFirstAttempt();
+        service.hedges.noteFirstAttempt();
+    }
+    const Instant time = now();
+    SlotRequest request{.request = ++service.lastRequest,
+                        .priority = query.priority,
+                        .timeLeft = query.deadline == Instant{} ? NoDeadline : query.deadline - time,
+                        .excluded = {},
+                        .isImmediate = query.hedge};
+    for (const UpstreamId &upstream : query.excluded) {
+        if (const auto index = service.router.table().find(upstream.value())) {
+            request.excluded.push_back(*index);
+        }
+    }
+    service.waiting.try_emplace(request.request, Service::Waiting{std::move(handler), service.routing.team});
+    service.router.request(std::move(request), time, service.output);
+    collect(service, effects);
+}
+
+void Router::release(const Placement &placement, const AttemptReport &report)
+{
+    Effects effects;
+    finish(placement.team);
+    {
+        const absl::ReaderMutexLock lock(&m_mutex);
+        const std::shared_ptr<Service> service = find(placement.service);
+        if (!service) {
+            return;
+        }
+        const absl::MutexLock serviceLock(&service->mutex);
+        if (report.outcome == AttemptOutcome::Success) {
+            service->hedgePolicy.record(report.serviceTime);
+        }
+        const auto index = service->router.table().find(placement.upstream.value());
+        if (!index) {
+            return;
+        }
+        const SlotPlacement slot{.upstream = *index, .grant = placement.grant == 0 ? NoGrant : placement.grant};
+        service->router.release(slot, report, now(), service->output);
+        collect(*service, effects);
+    }
+    run(effects);
+}
+
+bool Router::takeRetry(const ServiceName &name)
+{
+    const absl::ReaderMutexLock lock(&m_mutex);
+    const std::shared_ptr<Service> service = find(name);
+    if (!service) {
+        return false;
+    }
+    const absl::MutexLock serviceLock(&service->mutex);
+    return service->retries.take();
+}
+
+std::optional<Duration> Router::hedgeDelay(const ServiceName &name)
+{
+    const absl::ReaderMutexLock lock(&m_mutex);
+    const std::shared_ptr<Service> service = find(name);
+    if (!service) {
+        return std::nullopt;
+    }
+    const absl::MutexLock serviceLock(&service->mutex);
+    return service->routing.hedging.budgetPercent > 0 ? service->hedgePolicy.delay() : std::nullopt;
+}
+
+bool Router::takeHedge(const ServiceName &name)
+{
+    const absl::ReaderMutexLock lock(&m_mutex);
+    const std::shared_ptr<Service> service = find(name);
+    if (!service) {
+        return false;
+    }
+    const absl::MutexLock serviceLock(&service->mutex);
+    return service->hedges.take();
+}
+
+bool Router::admit(const TeamName &team, Priority priority)
+{
+    const absl::MutexLock lock(&m_admissionMutex);
+    return m_admission.admit(team, priority);
+}
+
+void Router::finish(const TeamName &team)
+{
+    const absl::MutexLock lock(&m_admissionMutex);
+    m_admission.finish(team);
+}
+
+void Router::tick(Instant now)
+{
+    Effects effects;
+    {
+        const absl::ReaderMutexLock lock(&m_mutex);
+        for (const auto &[name, service] : m_services) {
+            const absl::MutexLock serviceLock(&service->mutex);
+            service->router.tick(now, service->output);
+            collect(*service, effects);
+        }
+    }
+    run(effects);
+}
+
+void Router::collect(Service &service, Effects &effects)
+{
+    service.mutex.AssertHeld();
+    const UpstreamTable &table = service.router.table();
+    for (const AddressedSlotMessage &addressed : service.output.messages) {
+        effects.addMessage(m_members.id(addressed.peer), toWire(addressed.message, service.name, table));
+    }
+    const auto answer = [&](std::uint64_t number, PlacementResult result) {
+        auto node = service.waiting.extract(number);
+        if (node.empty()) {
+            return;
+        }
+        if (auto *placement = std::get_if<Placement>(&result)) {
+            placement->team = node.mapped().team;
+        }
+        if (std::holds_alternative<PlacementRefusal>(result)) {
+            finish(node.mapped().team);
+        }
+        effects.answers.push_back({std::move(node.mapped().handler), std::move(result)});
+    };
+    const std::optional<MemberIndex> dispatcher = service.router.client().dispatcher();
+    for (const SlotPlacement &placement : service.output.decisions.placements) {
+        const RoutedUpstream &upstream = table.upstream(placement.upstream);
+        const bool isGranted = placement.grant != NoGrant;
+        answer(placement.request,
+               Placement{.service = service.name,
+                         .upstream = upstream.id,
+                         .address = upstream.address,
+                         .grant = isGranted ? placement.grant : 0,
+                         .dispatcher = isGranted && dispatcher ? m_members.id(*dispatcher) : InstanceId(),
+                         .team = {}});
+    }
+    for (const SlotRefusal &refusal : service.output.decisions.refusals) {
+        answer(refusal.request, PlacementRefusal{.reason = refusal.reason, .retryAfter = refusal.retryAfter});
+    }
+    service.output.clear();
+}
+
+void Router::run(Effects &effects)
+{
+    if (m_options.send) {
+        for (auto &[to, envelope] : effects.messages) {
+            m_options.send(to, std::move(envelope));
         }
     }
+    for (Effects::Answer &answer : effects.answers) {
+        answer.handler(std::move(answer.result));
+    }
+}
+
+RouterStatus Router::status() const
+{
+    RouterStatus result;
+    const absl::ReaderMutexLock lock(&m_mutex);
+    for (const auto &[name, service] : m_services) {
+        const absl::MutexLock serviceLock(&service->mutex);
+        const ServiceRouter &router = service->router;
+        const std::optional<MemberIndex> dispatcher = router.client().dispatcher();
+        ServiceRoutingStatus status{.service = name,
+                                    .dispatcher = dispatcher ? m_members.id(*dispatcher) : InstanceId(),
+                                    .isDispatcher = router.dispatcher().isRunning(),
+                                    .queued = router.dispatcher().queued(),
+                                    .waiting = router.client().waiting(),
+                                    .granted = router.client().grants(),
+                                    .ownChoices = router.client().ownChoices(),
+                                    .meanServiceTime = router.table().meanServiceTime(),
+                                    .upstreams = upstreamStatus(router)};
+        result.services.push_back(std::move(status));
+    }
+    const absl::MutexLock admissionLock(&m_admissionMutex);
+    result.held = m_admission.held();
+    return result;
 }
 
 } // namespace Filbertmount
--- /dev/null
+++ b/src/routing/servicerouter.cpp
@@ -0,0 +1,152 @@
+#include <filbertmount/routing/servicerouter.h>
+
+#include <array>
+#include <type_traits>
+
+namespace Filbertmount {
+
+void ServiceRouterOutput::clear()
+{
+    messages.clear();
+    decisions.clear();
+}
+
+ServiceRouter::ServiceRouter(ServiceRouterOptions options)
+    : m_options(std::move(options))
+    , m_table(m_options.table)
+    , m_client(m_table, m_options.client)
+    , m_dispatcher(m_table, m_options.dispatcher)
+{
+}
+
+void ServiceRouter::setOptions(const UpstreamTableOptions &table, const SlotDispatcherOptions &dispatcher)
+{
+    m_table.setOptions(table);
+    m_dispatcher.setOptions(dispatcher);
+}
+
+void ServiceRouter::updateUpstreams(std::span<const RoutedUpstream> upstreams, Instant now, ServiceRouterOutput &output)
+{
+    m_table.update(upstreams, now);
+    m_dispatcher.upstreamsChanged(now, m_outbox);
+    flush(now, output);
+}
+
+void ServiceRouter::setUpstreamState(UpstreamIndex index, UpstreamState state, Instant now, ServiceRouterOutput &output)
+{
+    m_table.setState(index, state, now);
+    m_dispatcher.upstreamsChanged(now, m_outbox);
+    flush(now, output);
+}
+
+void ServiceRouter::setDispatcher(std::optional<MemberIndex> dispatcher,
+                                  std::span<const MemberIndex> members,
+                                  Instant now,
+                                  ServiceRouterOutput &output)
+{
+    if (dispatcher == SelfMember && m_client.dispatcher() != SelfMember && !m_dispatcher.isRunning()) {
+        m_dispatcher.start(members, now);
+    }
+    m_lastAsked = now;
+    m_client.setDispatcher(dispatcher, now, m_outbox, output.decisions);
+    flush(now, output);
+}
+
+void ServiceRouter::removeMember(MemberIndex member, Instant now, ServiceRouterOutput &output)
+{
+    m_dispatcher.removeMember(member, now, m_outbox);
+    flush(now, output);
+}
+
+void ServiceRouter::request(SlotRequest request, Instant now, ServiceRouterOutput &output)
+{
+    m_client.request(std::move(request), now, m_outbox, output.decisions);
+    flush(now, output);
+}
+
+void ServiceRouter::release(const SlotPlacement &placement, const AttemptReport &report, Instant now, ServiceRouterOutput &output)
+{
+    m_client.release(placement, report, now, m_outbox);
+    flush(now, output);
+}
+
+void ServiceRouter::handle(MemberIndex from, const SlotMessage &message, Instant now, ServiceRouterOutput &output)
+{
+    deliver(from, message, now, output.decisions);
+    flush(now, output);
+}
+
+void ServiceRouter::handleUnknownUpstream(MemberIndex from, const SlotGrant &grant, Instant now, ServiceRouterOutput &output)
+{
+    m_client.handleUnknownUpstream(from, grant, now, m_outbox, output.decisions);
+    flush(now, output);
+}
+
+void ServiceRouter::tick(Instant now, ServiceRouterOutput &output)
+{
+    m_table.tick(now);
+    if (m_dispatcher.isRunning() && m_client.dispatcher() != SelfMember && now - m_lastAsked > m_options.dispatcherIdle) {
+        m_dispatcher.stop();
+    }
+    m_dispatcher.tick(now, m_outbox);
+    m_client.tick(now, m_outbox, output.decisions);
+    flush(now, output);
+}
+
+void ServiceRouter::deliver(MemberIndex from, const SlotMessage &message, Instant now, SlotDecisions &decisions)
+{
+    const auto toDispatcher = [&](const auto &body) {
+        m_lastAsked = now;
+        if (!m_dispatcher.isRunning()) {
+            // Members that see another membership may ask an instance that does not see itself as the dispatcher. It
+            // serves them: two dispatchers overcommit slots, which costs less than leaving the requests to chance.
+            m_dispatcher.start({}, now);
+        }
+        m_dispatcher.handle(from, body, now, m_outbox);
+    };
+    std::visit(
+        [&](const auto &body) {
+            using Body = std::decay_t<decltype(body)>;
+            if constexpr (std::is_same_v<Body, SlotGrant>) {
+                m_client.handle(from, body, now, m_outbox, decisions);
+            } else if constexpr (std::is_same_v<Body, SlotQueued>) {
+                m_client.handle(from, body, now);
+            } else if constexpr (std::is_same_v<Body, SlotRefusal>) {
+                m_client.handle(from, body, now, decisions);
+            } else {
+                toDispatcher(body);
+            }
+        },
+        message);
+}
+
+void ServiceRouter::flush(Instant now, ServiceRouterOutput &output)
+{
+    // Local delivery appends to the list while it is walked, so positions are used instead of iterators.
+    for (std::size_t position = 0; position < m_outbox.size(); ++position) { // NOLINT(modernize-loop-convert)
+        AddressedSlotMessage addressed = std::move(m_outbox[position]);
+        if (addressed.peer == SelfMember) {
+            deliver(SelfMember, addressed.message, now, output.decisions);
+        } else {
+            output.messages.push_back(std::move(addressed));
+        }
+    }
+    m_outbox.clear();
+}
+
+const UpstreamTable &ServiceRouter::table() const
+{
+    return m_table;
+}
+
+const SlotClient &ServiceRouter::client() const
+{
+    return m_client;
+}
+
+const SlotDispatcher &ServiceRouter::dispatcher() const
+{
+    return m_dispatcher;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/routing/slotclient.cpp
@@ -0,0 +1,309 @@
+#include <filbertmount/routing/slotclient.h>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+constexpr double AnswerTimeSmoothing = 0.1;
+// The timeout must be well above the usual answer time of a slow network, or answers arrive after it.
+constexpr double AnswerTimeMultiple = 4;
+// Random draws cost the same at any number of upstreams; a scan is needed only when few upstreams are usable.
+constexpr int DrawsBeforeScan = 16;
+
+bool contains(const absl::InlinedVector<UpstreamIndex, 2> &indices, UpstreamIndex index)
+{
+    return std::find(indices.begin(), indices.end(), index) != indices.end();
+}
+
+} // namespace
+
+void SlotDecisions::clear()
+{
+    placements.clear();
+    refusals.clear();
+}
+
+SlotClient::SlotClient(UpstreamTable &table, SlotClientOptions options)
+    : m_table(table)
+    , m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+}
+
+void SlotClient::setDispatcher(std::optional<MemberIndex> dispatcher, Instant now, SlotOutbox &outbox, SlotDecisions &decisions)
+{
+    if (m_dispatcher == dispatcher) {
+        return;
+    }
+    m_dispatcher = dispatcher;
+    m_lastGrant = 0;
+    m_timeoutsInRow = 0;
+    m_answerTime = 0;
+    if (m_dispatcher) {
+        sendReport(now, outbox);
+    }
+    // Requests that wait at the old dispatcher are asked for again; a late grant of the old one is given back.
+    absl::flat_hash_map<std::uint64_t, Pending> waiting;
+    std::swap(waiting, m_pending);
+    for (auto &[number, pending] : waiting) {
+        pending.request.timeLeft = pending.deadline - now;
+        request(std::move(pending.request), now, outbox, decisions);
+    }
+}
+
+std::optional<MemberIndex> SlotClient::dispatcher() const
+{
+    return m_dispatcher;
+}
+
+Duration SlotClient::timeout() const
+{
+    const Duration adapted(static_cast<std::int64_t>(m_answerTime * AnswerTimeMultiple));
+    return std::max(m_options.grantTimeout, adapted);
+}
+
+bool SlotClient::mayAsk(Instant now)
+{
+    if (!m_dispatcher) {
+        return false;
+    }
+    const bool isDistrusted = m_timeoutsInRow >= m_options.timeoutsToDistrust;
+    if (isDistrusted && now - m_lastAsked < m_options.distrustedInterval) {
+        return false;
+    }
+    m_lastAsked = now;
+    return true;
+}
+
+void SlotClient::request(SlotRequest request, Instant now, SlotOutbox &outbox, SlotDecisions &decisions)
+{
+    request.zone = m_options.zone.value();
+    if (!mayAsk(now)) {
+        chooseAlone(request, decisions);
+        return;
+    }
+    outbox.push_back({.peer = *m_dispatcher, .message = request});
+    Pending pending{.deadline = now + request.timeLeft, .sent = now, .answerDue = now + timeout()};
+    const std::uint64_t number = request.request;
+    pending.request = std::move(request);
+    m_pending.insert_or_assign(number, std::move(pending));
+}
+
+void SlotClient::chooseAlone(const SlotRequest &request, SlotDecisions &decisions)
+{
+    // A hedged attempt is not worth a slot that may be taken.
+    const std::optional<UpstreamIndex> upstream = request.isImmediate ? std::nullopt : twoChoices(request);
+    if (!upstream) {
+        decisions.refusals.push_back({.request = request.request, .retryAfter = m_table.meanServiceTime()});
+        return;
+    }
+    ++m_ownChoices;
+    ++m_ownInFlight;
+    begin({.request = request.request, .upstream = *upstream, .grant = NoGrant}, decisions);
+}
+
+std::optional<UpstreamIndex> SlotClient::twoChoices(const SlotRequest &request)
+{
+    const std::optional<UpstreamIndex> first = anyUsable(request);
+    if (!first) {
+        return std::nullopt;
+    }
+    const UpstreamIndex second = *anyUsable(request);
+    return load(second) < load(*first) ? second : *first;
+}
+
+std::optional<UpstreamIndex> SlotClient::anyUsable(const SlotRequest &request)
+{
+    ensureSize();
+    if (m_table.size() == 0) {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<UpstreamIndex> any(0, static_cast<UpstreamIndex>(m_table.size() - 1));
+    const auto isUsable = [&](UpstreamIndex index) {
+        return m_table.limit(index) > 0 && !contains(request.excluded, index);
+    };
+    for (int draw = 0; draw < DrawsBeforeScan; ++draw) {
+        const UpstreamIndex index = any(m_random);
+        if (isUsable(index)) {
+            return index;
+        }
+    }
+    const UpstreamIndex start = any(m_random);
+    for (UpstreamIndex step = 0; step < m_table.size(); ++step) {
+        const auto index = static_cast<UpstreamIndex>((start + step) % m_table.size());
+        if (isUsable(index)) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+double SlotClient::load(UpstreamIndex index) const
+{
+    return (m_inFlight[index] + 1) * m_table.slowness(index) / m_table.limit(index);
+}
+
+void SlotClient::begin(const SlotPlacement &placement, SlotDecisions &decisions)
+{
+    ensureSize();
+    ++m_inFlight[placement.upstream];
+    decisions.placements.push_back(placement);
+}
+
+void SlotClient::release(const SlotPlacement &placement, const AttemptReport &report, Instant now, SlotOutbox &outbox)
+{
+    ensureSize();
+    m_inFlight[placement.upstream] = std::max(0, m_inFlight[placement.upstream] - 1);
+    if (placement.grant == NoGrant) {
+        m_ownInFlight = std::max(0, m_ownInFlight - 1);
+    }
+    // The dispatcher shares the table when it runs in this instance, and records the release itself.
+    if (m_dispatcher != SelfMember) {
+        m_table.record(placement.upstream, report, now);
+    }
+    if (!m_dispatcher) {
+        return;
+    }
+    outbox.push_back(
+        {.peer = *m_dispatcher,
+         .message = SlotRelease{
+             .request = placement.request, .grant = placement.grant, .upstream = placement.upstream, .report = report}});
+}
+
+void SlotClient::handle(MemberIndex from, const SlotGrant &grant, Instant now, SlotOutbox &outbox, SlotDecisions &decisions)
+{
+    if (m_dispatcher == from) {
+        m_lastGrant = std::max(m_lastGrant, grant.grant);
+        m_timeoutsInRow = 0;
+    }
+    const auto pending = m_pending.find(grant.request);
+    if (pending == m_pending.end() || m_dispatcher != from) {
+        // The request was placed otherwise or given up: the slot goes back at once.
+        outbox.push_back({.peer = from,
+                          .message = SlotRelease{.request = grant.request,
+                                                 .grant = grant.grant,
+                                                 .upstream = grant.upstream,
+                                                 .report = {.outcome = AttemptOutcome::Unused}}});
+        return;
+    }
+    noteAnswer(pending->second, now);
+    m_pending.erase(pending);
+    ++m_grants;
+    begin({.request = grant.request, .upstream = grant.upstream, .grant = grant.grant}, decisions);
+}
+
+void SlotClient::noteAnswer(const Pending &pending, Instant now)
+{
+    m_timeoutsInRow = 0;
+    // Only the first answer measures the way to the dispatcher; later ones include the wait in its queue.
+    if (pending.answerDue - pending.sent > timeout()) {
+        return;
+    }
+    const auto taken = static_cast<double>((now - pending.sent).count());
+    m_answerTime = m_answerTime == 0 ? taken : m_answerTime + AnswerTimeSmoothing * (taken - m_answerTime);
+}
+
+void SlotClient::handle(MemberIndex from, const SlotQueued &queued, Instant now)
+{
+    const auto pending = m_pending.find(queued.request);
+    if (pending == m_pending.end() || m_dispatcher != from) {
+        return;
+    }
+    noteAnswer(pending->second, now);
+    pending->second.answerDue = now + queued.wait + timeout();
+}
+
+void SlotClient::handle(MemberIndex from, const SlotRefusal &refusal, Instant now, SlotDecisions &decisions)
+{
+    const auto pending = m_pending.find(refusal.request);
+    if (pending == m_pending.end() || m_dispatcher != from) {
+        return;
+    }
+    noteAnswer(pending->second, now);
+    m_pending.erase(pending);
+    decisions.refusals.push_back(refusal);
+}
+
+void SlotClient::handleUnknownUpstream(MemberIndex from,
+                                       const SlotGrant &grant,
+                                       Instant now,
+                                       SlotOutbox &outbox,
+                                       SlotDecisions &decisions)
+{
+    const auto pending = m_pending.find(grant.request);
+    if (pending == m_pending.end() || m_dispatcher != from) {
+        return;
+    }
+    // This report corrects the dispatcher's count: it covers the grant and does not contain the upstream.
+    m_lastGrant = std::max(m_lastGrant, grant.grant);
+    sendReport(now, outbox);
+    const SlotRequest asked = std::move(pending->second.request);
+    m_pending.erase(pending);
+    chooseAlone(asked, decisions);
+}
+
+void SlotClient::tick(Instant now, SlotOutbox &outbox, SlotDecisions &decisions)
+{
+    m_expired.clear();
+    for (const auto &[number, pending] : m_pending) {
+        if (now >= pending.answerDue) {
+            m_expired.push_back(number);
+        }
+    }
+    std::sort(m_expired.begin(), m_expired.end());
+    for (const std::uint64_t number : m_expired) {
+        const auto node = m_pending.extract(number);
+        ++m_timeoutsInRow;
+        outbox.push_back({.peer = *m_dispatcher, .message = SlotRelease{.request = number}});
+        chooseAlone(node.mapped().request, decisions);
+    }
+    const bool isOwnVisible = m_ownInFlight > 0 || m_reportedOwn;
+    const Duration interval = isOwnVisible ? m_options.ownChoiceReportInterval : m_options.reportInterval;
+    if (m_dispatcher && now - m_lastReport >= interval) {
+        sendReport(now, outbox);
+    }
+}
+
+void SlotClient::sendReport(Instant now, SlotOutbox &outbox)
+{
+    m_lastReport = now;
+    m_reportedOwn = m_ownInFlight > 0;
+    InFlightReport report{.upstreams = {}, .lastGrant = m_lastGrant};
+    for (UpstreamIndex index = 0; index < m_inFlight.size(); ++index) {
+        if (m_inFlight[index] > 0) {
+            report.upstreams.push_back({.upstream = index, .requests = m_inFlight[index]});
+        }
+    }
+    outbox.push_back({.peer = *m_dispatcher, .message = std::move(report)});
+}
+
+void SlotClient::ensureSize()
+{
+    if (m_inFlight.size() < m_table.size()) {
+        m_inFlight.resize(m_table.size());
+    }
+}
+
+int SlotClient::inFlight(UpstreamIndex index) const
+{
+    return index < m_inFlight.size() ? m_inFlight[index] : 0;
+}
+
+std::size_t SlotClient::waiting() const
+{
+    return m_pending.size();
+}
+
+std::uint64_t SlotClient::ownChoices() const
+{
+    return m_ownChoices;
+}
+
+std::uint64_t SlotClient::grants() const
+{
+    return m_grants;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/routing/slotdispatcher.cpp
@@ -0,0 +1,383 @@
+#include <filbertmount/routing/slotdispatcher.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace Filbertmount {
+
+namespace {
+
+// Entries behind the first that may be served when the first excludes all free upstreams.
+constexpr int ServeLookAhead = 8;
+// Shorter promises would have to be renewed for most queued requests.
+constexpr Duration ShortestPromise = std::chrono::milliseconds(20);
+// A promise is renewed this long before it ends, so that the message arrives in time.
+constexpr Duration PromiseMargin = std::chrono::milliseconds(8);
+// About half of the requests of a heavy-tailed service take less than the mean divided by this.
+constexpr int ShortServiceDivisor = 2;
+// An attempt that runs longer than this multiple of the mean speaks for a straggler before it ends.
+constexpr int OverdueMultiple = 3;
+constexpr std::size_t FirstCapacity = 64;
+
+} // namespace
+
+SlotDispatcher::SlotDispatcher(UpstreamTable &table, SlotDispatcherOptions options)
+    : m_table(table)
+    , m_options(options)
+    , m_queue(options.queue)
+    , m_checks(FirstCapacity)
+{
+    m_grants.reserve(FirstCapacity);
+}
+
+void SlotDispatcher::setOptions(const SlotDispatcherOptions &options)
+{
+    m_options = options;
+    m_queue.setCapacity(options.queue);
+}
+
+void SlotDispatcher::start(std::span<const MemberIndex> members, Instant now)
+{
+    stop();
+    m_isRunning = true;
+    m_started = now;
+    m_missingReports.assign(members.begin(), members.end());
+    refreshChanged();
+}
+
+void SlotDispatcher::stop()
+{
+    m_isRunning = false;
+    while (m_queue.front() != SlotQueue::None) {
+        m_queue.remove(m_queue.front());
+    }
+    m_grants.clear();
+    m_reported.clear();
+    m_checks.clear();
+    m_missingReports.clear();
+    for (UpstreamIndex index = 0; index < m_inFlight.size(); ++index) {
+        addInFlight(index, -m_inFlight[index]);
+    }
+}
+
+bool SlotDispatcher::isRunning() const
+{
+    return m_isRunning;
+}
+
+bool SlotDispatcher::isWaitingForReports(Instant now) const
+{
+    return !m_missingReports.empty() && now - m_started < m_options.reportWait;
+}
+
+void SlotDispatcher::handle(MemberIndex from, const SlotRequest &request, Instant now, SlotOutbox &outbox)
+{
+    refreshChanged();
+    if (!hasUpstreamFor(request)) {
+        refuse(from, request.request, RefusalReason::NoUpstream, outbox);
+        return;
+    }
+    const bool mayGrant = !isWaitingForReports(now) && m_queue.countAhead(request.priority) == 0;
+    const UpstreamIndex upstream = mayGrant ? chooseFor(request) : SlotSelector::None;
+    if (upstream != SlotSelector::None) {
+        grant(from, request, upstream, now, outbox);
+        return;
+    }
+    if (request.isImmediate) {
+        refuse(from, request.request, RefusalReason::QueueFull, outbox);
+        return;
+    }
+    enqueue(from, request, now, outbox);
+}
+
+bool SlotDispatcher::hasUpstreamFor(const SlotRequest &request) const
+{
+    std::size_t excluded = 0;
+    for (auto index = request.excluded.begin(); index != request.excluded.end(); ++index) {
+        const bool isRepeated = std::find(request.excluded.begin(), index, *index) != index;
+        const bool isUsable = *index < m_table.size() && m_table.limit(*index) > 0;
+        excluded += isUsable && !isRepeated ? 1 : 0;
+    }
+    return excluded < m_table.usableCount();
+}
+
+UpstreamIndex SlotDispatcher::chooseFor(const SlotRequest &request)
+{
+    return m_selector.choose(request.zone, request.excluded, largestSlowness());
+}
+
+double SlotDispatcher::largestSlowness() const
+{
+    const int fast = m_table.fastLimit();
+    // When most upstreams look slow, the service as a whole has become slower, and none is left out.
+    if (2 * fast < m_table.totalLimit()) {
+        return std::numeric_limits<double>::max();
+    }
+    // A straggler is worth its slot once the queue takes longer than the straggler loses.
+    const double queueTime = static_cast<double>(m_queue.size()) / fast;
+    return std::max(UpstreamTable::StragglerSlowness, 1.0 + queueTime);
+}
+
+void SlotDispatcher::enqueue(MemberIndex member, const SlotRequest &request, Instant now, SlotOutbox &outbox)
+{
+    const std::size_t ahead = m_queue.countAhead(request.priority);
+    const Duration needed = expectedWait(ahead) + m_table.meanServiceTime() / ShortServiceDivisor;
+    if (needed > request.timeLeft) {
+        refuse(member, request.request, RefusalReason::DeadlineTooShort, outbox);
+        return;
+    }
+    if (m_queue.find(member, request.request) != SlotQueue::None) {
+        return;
+    }
+    if (m_queue.isFull() && !makeRoom(request.priority, outbox)) {
+        refuse(member, request.request, RefusalReason::QueueFull, outbox);
+        return;
+    }
+    SlotQueue::Entry entry{.member = member, .request = request, .arrival = now, .deadline = now + request.timeLeft};
+    entry.request.zone = m_selector.knownZone(request.zone);
+    announce(entry, ahead, now, outbox);
+    m_queue.push(std::move(entry));
+}
+
+bool SlotDispatcher::makeRoom(Priority priority, SlotOutbox &outbox)
+{
+    const SlotQueue::Position last = m_queue.last();
+    if (last == SlotQueue::None || m_queue[last].request.priority <= priority) {
+        return false;
+    }
+    refuse(m_queue[last].member, m_queue[last].request.request, RefusalReason::Shed, outbox);
+    m_queue.remove(last);
+    return true;
+}
+
+Duration SlotDispatcher::expectedWait(std::size_t ahead) const
+{
+    const auto slots = static_cast<std::int64_t>(std::max(1, m_table.totalLimit()));
+    return m_table.meanServiceTime() * static_cast<std::int64_t>(ahead + 1) / slots;
+}
+
+void SlotDispatcher::announce(SlotQueue::Entry &entry, std::size_t ahead, Instant now, SlotOutbox &outbox) const
+{
+    const Duration wait = std::max(expectedWait(ahead), ShortestPromise);
+    entry.promised = now + wait;
+    outbox.push_back({.peer = entry.member, .message = SlotQueued{.request = entry.request.request, .wait = wait}});
+}
+
+void SlotDispatcher::refuse(MemberIndex member, std::uint64_t request, RefusalReason reason, SlotOutbox &outbox) const
+{
+    outbox.push_back({.peer = member,
+                      .message = SlotRefusal{.request = request, .reason = reason, .retryAfter = expectedWait(m_queue.size())}});
+}
+
+void SlotDispatcher::grant(MemberIndex member,
+                           const SlotRequest &request,
+                           UpstreamIndex upstream,
+                           Instant now,
+                           SlotOutbox &outbox)
+{
+    const std::uint64_t number = ++m_lastGrant;
+    m_grants[number] = {.member = member, .upstream = upstream, .start = now};
+    addInFlight(upstream, 1);
+    scheduleCheck(number, now);
+    outbox.push_back({.peer = member, .message = SlotGrant{.request = request.request, .upstream = upstream, .grant = number}});
+}
+
+void SlotDispatcher::handle(MemberIndex from, const SlotRelease &release, Instant now, SlotOutbox &outbox)
+{
+    if (release.grant == 0) {
+        const SlotQueue::Position position = m_queue.find(from, release.request);
+        if (position != SlotQueue::None) {
+            m_queue.remove(position);
+        }
+        return;
+    }
+    const auto known = m_grants.find(release.grant);
+    if (known != m_grants.end() && known->second.member == from && known->second.upstream == release.upstream) {
+        m_grants.erase(known);
+        addInFlight(release.upstream, -1);
+    } else if (const auto reported = m_reported.find({from, release.upstream}); reported != m_reported.end()) {
+        // The grant came from another dispatcher or is part of the member's last report.
+        --reported->second;
+        if (reported->second == 0) {
+            m_reported.erase(reported);
+        }
+        addInFlight(release.upstream, -1);
+    }
+    m_table.record(release.upstream, release.report, now);
+    serve(now, outbox);
+}
+
+void SlotDispatcher::handle(MemberIndex from, const InFlightReport &report, Instant now, SlotOutbox &outbox)
+{
+    dropCounts(from, report.lastGrant);
+    for (const UpstreamCount &count : report.upstreams) {
+        if (count.requests > 0 && count.upstream < m_table.size()) {
+            m_reported[{from, count.upstream}] += count.requests;
+            addInFlight(count.upstream, count.requests);
+        }
+    }
+    std::erase(m_missingReports, from);
+    serve(now, outbox);
+}
+
+void SlotDispatcher::dropCounts(MemberIndex member, std::uint64_t lastGrant)
+{
+    absl::erase_if(m_grants, [&](const auto &numbered) {
+        const bool isCovered = numbered.second.member == member && numbered.first <= lastGrant;
+        if (isCovered) {
+            addInFlight(numbered.second.upstream, -1);
+        }
+        return isCovered;
+    });
+    absl::erase_if(m_reported, [&](const auto &counted) {
+        const bool isOfMember = counted.first.first == member;
+        if (isOfMember) {
+            addInFlight(counted.first.second, -counted.second);
+        }
+        return isOfMember;
+    });
+}
+
+void SlotDispatcher::removeMember(MemberIndex member, Instant now, SlotOutbox &outbox)
+{
+    dropCounts(member, std::numeric_limits<std::uint64_t>::max());
+    std::erase(m_missingReports, member);
+    for (auto position = m_queue.front(); position != SlotQueue::None;) {
+        const SlotQueue::Position following = m_queue.next(position);
+        if (m_queue[position].member == member) {
+            m_queue.remove(position);
+        }
+        position = following;
+    }
+    serve(now, outbox);
+}
+
+void SlotDispatcher::upstreamsChanged(Instant now, SlotOutbox &outbox)
+{
+    serve(now, outbox);
+}
+
+void SlotDispatcher::serve(Instant now, SlotOutbox &outbox)
+{
+    refreshChanged();
+    if (!m_isRunning || isWaitingForReports(now)) {
+        return;
+    }
+    int skipped = 0;
+    for (auto position = m_queue.front(); position != SlotQueue::None && skipped < ServeLookAhead;) {
+        const SlotQueue::Position following = m_queue.next(position);
+        SlotQueue::Entry &entry = m_queue[position];
+        if (now + m_table.meanServiceTime() / ShortServiceDivisor > entry.deadline) {
+            refuse(entry.member, entry.request.request, RefusalReason::DeadlineTooShort, outbox);
+            m_queue.remove(position);
+            position = following;
+            continue;
+        }
+        const UpstreamIndex upstream = chooseFor(entry.request);
+        if (upstream == SlotSelector::None && entry.request.excluded.empty()) {
+            return;
+        }
+        if (upstream == SlotSelector::None) {
+            ++skipped;
+        } else {
+            grant(entry.member, entry.request, upstream, now, outbox);
+            m_queue.remove(position);
+        }
+        position = following;
+    }
+}
+
+void SlotDispatcher::tick(Instant now, SlotOutbox &outbox)
+{
+    if (!m_isRunning) {
+        return;
+    }
+    checkOverdue(now);
+    serve(now, outbox);
+    reviewQueue(now, outbox);
+}
+
+void SlotDispatcher::reviewQueue(Instant now, SlotOutbox &outbox)
+{
+    std::size_t ahead = 0;
+    for (auto position = m_queue.front(); position != SlotQueue::None;) {
+        const SlotQueue::Position following = m_queue.next(position);
+        SlotQueue::Entry &entry = m_queue[position];
+        if (now + m_table.meanServiceTime() / ShortServiceDivisor > entry.deadline) {
+            refuse(entry.member, entry.request.request, RefusalReason::DeadlineTooShort, outbox);
+            m_queue.remove(position);
+        } else {
+            if (now + PromiseMargin >= entry.promised) {
+                announce(entry, ahead, now, outbox);
+            }
+            ++ahead;
+        }
+        position = following;
+    }
+}
+
+void SlotDispatcher::scheduleCheck(std::uint64_t grant, Instant now)
+{
+    if (m_table.meanServiceTime() == Duration::zero()) {
+        return;
+    }
+    if (m_checks.full()) {
+        m_checks.set_capacity(2 * m_checks.capacity());
+    }
+    m_checks.push_back({.at = now + m_table.meanServiceTime() * OverdueMultiple, .grant = grant});
+}
+
+void SlotDispatcher::checkOverdue(Instant now)
+{
+    while (!m_checks.empty() && m_checks.front().at <= now) {
+        const auto known = m_grants.find(m_checks.front().grant);
+        m_checks.pop_front();
+        if (known != m_grants.end()) {
+            m_table.recordOverdue(known->second.upstream, now - known->second.start, now);
+        }
+    }
+}
+
+void SlotDispatcher::addInFlight(UpstreamIndex index, int change)
+{
+    ensureSize();
+    m_inFlight[index] += change;
+    m_selector.refresh(m_table, index, m_inFlight[index]);
+}
+
+void SlotDispatcher::refreshChanged()
+{
+    ensureSize();
+    for (const UpstreamIndex index : m_table.takeChanged()) {
+        m_selector.refresh(m_table, index, m_inFlight[index]);
+    }
+}
+
+void SlotDispatcher::ensureSize()
+{
+    if (m_inFlight.size() < m_table.size()) {
+        m_inFlight.resize(m_table.size());
+    }
+}
+
+int SlotDispatcher::inFlight(UpstreamIndex index) const
+{
+    return index < m_inFlight.size() ? m_inFlight[index] : 0;
+}
+
+std::size_t SlotDispatcher::queued() const
+{
+    return m_queue.size();
+}
+
+std::uint64_t SlotDispatcher::grants() const
+{
+    return m_lastGrant;
+}
+
+const SlotSelector &SlotDispatcher::selector() const
+{
+    return m_selector;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/routing/slotwire.cpp
@@ -0,0 +1,228 @@
+#include "routing/slotwire.h"
+
+#include "peer.pb.h"
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+// An hour, in microseconds, is longer than any deadline; the bound keeps a malformed value from overflowing.
+constexpr std::uint64_t LongestWait = 3'600'000'000;
+// More attempts than connections to one upstream are not possible; the bound keeps malformed counts harmless.
+constexpr std::uint32_t LargestCount = 10'000;
+
+std::uint64_t toMicroseconds(Duration duration)
+{
+    return static_cast<std::uint64_t>(
+        std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(duration).count()));
+}
+
+Duration fromMicroseconds(std::uint64_t microseconds)
+{
+    return std::chrono::microseconds(std::min(microseconds, LongestWait));
+}
+
+class Writer
+{
+public:
+    Writer(Wire::Body &body, const ServiceName &service, const UpstreamTable &table)
+        : m_body(body)
+        , m_service(service)
+        , m_table(table)
+    {
+    }
+
+    void operator()(const SlotRequest &request)
+    {
+        Wire::SlotRequest &wire = *m_body.mutable_slot_request();
+        wire.set_service(m_service.value());
+        wire.set_request(request.request);
+        wire.set_priority(static_cast<std::uint32_t>(request.priority));
+        wire.set_deadline_us(toMicroseconds(request.timeLeft));
+        wire.set_zone(request.zone.data(), request.zone.size());
+        wire.set_immediate(request.isImmediate);
+        for (const UpstreamIndex index : request.excluded) {
+            wire.add_excluded(m_table.upstream(index).id.value());
+        }
+    }
+
+    void operator()(const SlotGrant &grant)
+    {
+        Wire::SlotGrant &wire = *m_body.mutable_slot_grant();
+        wire.set_service(m_service.value());
+        wire.set_request(grant.request);
+        wire.set_upstream(m_table.upstream(grant.upstream).id.value());
+        wire.set_grant(grant.grant);
+    }
+
+    void operator()(const SlotQueued &queued)
+    {
+        Wire::SlotQueued &wire = *m_body.mutable_slot_queued();
+        wire.set_service(m_service.value());
+        wire.set_request(queued.request);
+        wire.set_wait_us(toMicroseconds(queued.wait));
+    }
+
+    void operator()(const SlotRefusal &refusal)
+    {
+        Wire::SlotRefusal &wire = *m_body.mutable_slot_refusal();
+        wire.set_service(m_service.value());
+        wire.set_request(refusal.request);
+        wire.set_retry_after_us(toMicroseconds(refusal.retryAfter));
+        wire.set_reason(static_cast<std::uint32_t>(refusal.reason));
+    }
+
+    void operator()(const SlotRelease &release)
+    {
+        Wire::SlotRelease &wire = *m_body.mutable_slot_release();
+        wire.set_service(m_service.value());
+        wire.set_grant(release.grant);
+        wire.set_request(release.request);
+        if (release.grant == 0) {
+            return;
+        }
+        wire.set_upstream(m_table.upstream(release.upstream).id.value());
+        wire.set_service_time_us(toMicroseconds(release.report.serviceTime));
+        wire.set_outcome(static_cast<std::uint32_t>(release.report.outcome));
+    }
+
+    void operator()(const InFlightReport &report)
+    {
+        Wire::InFlightReport &wire = *m_body.mutable_in_flight_report();
+        wire.set_service(m_service.value());
+        wire.set_last_grant(report.lastGrant);
+        for (const UpstreamCount &count : report.upstreams) {
+            Wire::UpstreamInFlight &item = *wire.add_upstreams();
+            item.set_upstream(m_table.upstream(count.upstream).id.value());
+            item.set_requests(static_cast<std::uint32_t>(count.requests));
+        }
+    }
+
+private:
+    Wire::Body &m_body;
+    const ServiceName &m_service;
+    const UpstreamTable &m_table;
+};
+
+ReceivedSlotMessage read(const Wire::SlotRequest &wire, const UpstreamTable &table)
+{
+    SlotRequest request{.request = wire.request(),
+                        .priority = wire.priority() == 0 ? Priority::Interactive : Priority::Patient,
+                        .timeLeft = fromMicroseconds(wire.deadline_us()),
+                        .zone = wire.zone(),
+                        .excluded = {},
+                        .isImmediate = wire.immediate()};
+    for (const std::string &id : wire.excluded()) {
+        if (const auto index = table.find(id)) {
+            request.excluded.push_back(*index);
+        }
+    }
+    return SlotMessage(std::move(request));
+}
+
+ReceivedSlotMessage read(const Wire::SlotGrant &wire, const UpstreamTable &table)
+{
+    const auto index = table.find(wire.upstream());
+    const SlotGrant grant{.request = wire.request(), .upstream = index.value_or(0), .grant = wire.grant()};
+    if (wire.grant() == 0 || wire.grant() == NoGrant) {
+        return std::monostate();
+    }
+    if (!index) {
+        return UnknownUpstreamGrant{grant};
+    }
+    return SlotMessage(grant);
+}
+
+ReceivedSlotMessage read(const Wire::SlotQueued &wire)
+{
+    return SlotMessage(SlotQueued{.request = wire.request(), .wait = fromMicroseconds(wire.wait_us())});
+}
+
+ReceivedSlotMessage read(const Wire::SlotRefusal &wire)
+{
+    if (wire.reason() > static_cast<std::uint32_t>(RefusalReason::Shed)) {
+        return std::monostate();
+    }
+    return SlotMessage(SlotRefusal{.request = wire.request(),
+                                   .reason = static_cast<RefusalReason>(wire.reason()),
+                                   .retryAfter = fromMicroseconds(wire.retry_after_us())});
+}
+
+ReceivedSlotMessage read(const Wire::SlotRelease &wire, const UpstreamTable &table)
+{
+    const auto index = table.find(wire.upstream());
+    const bool isWithdrawal = wire.grant() == 0;
+    if ((!index && !isWithdrawal) || wire.outcome() > static_cast<std::uint32_t>(AttemptOutcome::Unused)) {
+        return std::monostate();
+    }
+    return SlotMessage(SlotRelease{.request = wire.request(),
+                                   .grant = wire.grant(),
+                                   .upstream = index.value_or(0),
+                                   .report = {.outcome = static_cast<AttemptOutcome>(wire.outcome()),
+                                              .serviceTime = fromMicroseconds(wire.service_time_us())}});
+}
+
+ReceivedSlotMessage read(const Wire::InFlightReport &wire, const UpstreamTable &table)
+{
+    InFlightReport report{.upstreams = {}, .lastGrant = wire.last_grant()};
+    for (const Wire::UpstreamInFlight &item : wire.upstreams()) {
+        if (const auto index = table.find(item.upstream())) {
+            report.upstreams.push_back(
+                {.upstream = *index, .requests = static_cast<int>(std::min(item.requests(), LargestCount))});
+        }
+    }
+    return SlotMessage(std::move(report));
+}
+
+} // namespace
+
+Wire::Body toWire(const SlotMessage &message, const ServiceName &service, const UpstreamTable &table)
+{
+    Wire::Body body;
+    std::visit(Writer(body, service, table), message);
+    return body;
+}
+
+ReceivedSlotMessage fromWire(const Wire::Body &body, const UpstreamTable &table)
+{
+    switch (body.kind_case()) {
+    case Wire::Body::kSlotRequest:
+        return read(body.slot_request(), table);
+    case Wire::Body::kSlotGrant:
+        return read(body.slot_grant(), table);
+    case Wire::Body::kSlotQueued:
+        return read(body.slot_queued());
+    case Wire::Body::kSlotRefusal:
+        return read(body.slot_refusal());
+    case Wire::Body::kSlotRelease:
+        return read(body.slot_release(), table);
+    case Wire::Body::kInFlightReport:
+        return read(body.in_flight_report(), table);
+    default:
+        return std::monostate();
+    }
+}
+
+std::string_view serviceOf(const Wire::Body &body)
+{
+    switch (body.kind_case()) {
+    case Wire::Body::kSlotRequest:
+        return body.slot_request().service();
+    case Wire::Body::kSlotGrant:
+        return body.slot_grant().service();
+    case Wire::Body::kSlotQueued:
+        return body.slot_queued().service();
+    case Wire::Body::kSlotRefusal:
+        return body.slot_refusal().service();
+    case Wire::Body::kSlotRelease:
+        return body.slot_release().service();
+    case Wire::Body::kInFlightReport:
+        return body.in_flight_report().service();
+    default:
+        return {};
+    }
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/routing/upstreamtable.cpp
@@ -0,0 +1,320 @@
+#include <filbertmount/routing/upstreamtable.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Filbertmount {
+
+namespace {
+
+// One request of a heavy-tailed service says little about its upstream; five of them tell a speed of a quarter.
+constexpr double UpstreamSmoothing = 0.2;
+constexpr double ServiceSmoothing = 1.0 / 256;
+// An upstream that gets no work because it was slow is tried again after about a second.
+constexpr double SlownessHalfLifeSeconds = 1.0;
+// Caps one sample at 20 times the mean, so that a single hung request does not keep an upstream out for long.
+constexpr double LargestLogSample = 3.0;
+constexpr double SheddingDecrease = 0.7;
+constexpr double SuccessIncrease = 0.02;
+constexpr int ConnectFailureWeight = 5; // A refused connection proves that nobody listens: one is enough to eject.
+constexpr double ColdLimitStart = 0.25;
+// Cold starts, ejections and the drift back to average move on in these steps, which bounds the work of a tick.
+constexpr Duration DriftInterval = std::chrono::milliseconds(100);
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+UpstreamTable::UpstreamTable(UpstreamTableOptions options)
+    : m_options(options)
+{
+}
+
+void UpstreamTable::setOptions(const UpstreamTableOptions &options)
+{
+    m_options = options;
+}
+
+UpstreamIndex UpstreamTable::place(const RoutedUpstream &upstream, Instant now)
+{
+    const auto [position, isNew] = m_positions.try_emplace(upstream.id.value(), static_cast<UpstreamIndex>(m_entries.size()));
+    if (isNew) {
+        m_entries.emplace_back();
+        m_changed.reserve(m_entries.size());
+        m_taken.reserve(m_entries.size());
+    }
+    Entry &entry = m_entries[position->second];
+    const bool isReplaced = !isNew && entry.upstream.incarnation < upstream.incarnation;
+    if (isNew || isReplaced || !entry.listed) {
+        entry = Entry{.lastSample = now, .limit = entry.limit, .slowness = entry.slowness, .changed = entry.changed};
+        if (m_filled) {
+            entry.coldSince = now;
+        }
+    }
+    entry.upstream = upstream;
+    entry.listed = true;
+    return position->second;
+}
+
+void UpstreamTable::update(std::span<const RoutedUpstream> upstreams, Instant now)
+{
+    std::vector<bool> listed(m_entries.size() + upstreams.size(), false);
+    for (const RoutedUpstream &upstream : upstreams) {
+        listed[place(upstream, now)] = true;
+    }
+    for (UpstreamIndex index = 0; index < m_entries.size(); ++index) {
+        m_entries[index].listed = listed[index];
+        refresh(index, now);
+    }
+    m_filled = m_filled || !upstreams.empty();
+}
+
+std::optional<UpstreamIndex> UpstreamTable::find(std::string_view id) const
+{
+    const auto position = m_positions.find(absl::string_view(id.data(), id.size()));
+    if (position == m_positions.end()) {
+        return std::nullopt;
+    }
+    return position->second;
+}
+
+std::size_t UpstreamTable::size() const
+{
+    return m_entries.size();
+}
+
+const RoutedUpstream &UpstreamTable::upstream(UpstreamIndex index) const
+{
+    return m_entries[index].upstream;
+}
+
+UpstreamState UpstreamTable::state(UpstreamIndex index) const
+{
+    return m_entries[index].state;
+}
+
+bool UpstreamTable::isEjected(UpstreamIndex index) const
+{
+    return m_entries[index].ejectedUntil.has_value();
+}
+
+bool UpstreamTable::isListed(UpstreamIndex index) const
+{
+    return m_entries[index].listed;
+}
+
+void UpstreamTable::setState(UpstreamIndex index, UpstreamState state, Instant now)
+{
+    m_entries[index].state = state;
+    refresh(index, now);
+}
+
+void UpstreamTable::record(UpstreamIndex index, const AttemptReport &report, Instant now)
+{
+    Entry &entry = m_entries[index];
+    switch (report.outcome) {
+    case AttemptOutcome::Success:
+        recordSuccess(entry, report.serviceTime, now);
+        break;
+    case AttemptOutcome::ServerError:
+    case AttemptOutcome::Broken:
+        recordFailure(index, now, 1);
+        break;
+    case AttemptOutcome::ConnectFailed:
+        recordFailure(index, now, ConnectFailureWeight);
+        break;
+    case AttemptOutcome::TimedOut:
+        recordOverdue(index, report.serviceTime, now);
+        recordFailure(index, now, 1);
+        break;
+    case AttemptOutcome::Cancelled:
+        recordOverdue(index, report.serviceTime, now);
+        break;
+    case AttemptOutcome::RefusedDraining:
+        entry.state = UpstreamState::Draining;
+        break;
+    case AttemptOutcome::RefusedStarting:
+        entry.coldSince = now;
+        break;
+    case AttemptOutcome::RefusedShedding:
+        // Refusals that belong to one burst count once.
+        if (now - entry.lastShedding > meanServiceTime()) {
+            entry.shareAfterShedding *= SheddingDecrease;
+            entry.lastShedding = now;
+        }
+        break;
+    case AttemptOutcome::Unused:
+        break;
+    }
+    refresh(index, now);
+}
+
+void UpstreamTable::recordSuccess(Entry &entry, Duration serviceTime, Instant now)
+{
+    const double seconds = std::max(toSeconds(serviceTime), 1e-6);
+    const double logarithm = std::log(seconds);
+    ++m_samples;
+    const double weight = std::max(ServiceSmoothing, 1.0 / static_cast<double>(m_samples));
+    m_meanSeconds += weight * (seconds - m_meanSeconds);
+    m_meanLog += weight * (logarithm - m_meanLog);
+    recordSlowness(entry, logarithm - m_meanLog, now);
+    entry.shareAfterShedding = std::min(1.0, entry.shareAfterShedding + SuccessIncrease);
+    entry.failuresInRow = 0;
+    entry.ejectionsInRow = 0;
+}
+
+void UpstreamTable::recordOverdue(UpstreamIndex index, Duration elapsed, Instant now)
+{
+    if (m_samples == 0 || elapsed <= Duration::zero()) {
+        return;
+    }
+    Entry &entry = m_entries[index];
+    const double sample = std::log(std::max(toSeconds(elapsed), 1e-6)) - m_meanLog;
+    // A lower bound of the service time tells nothing as long as it is below what was expected.
+    if (sample > entry.logSlowness) {
+        recordSlowness(entry, sample, now);
+        refresh(index, now);
+    }
+}
+
+void UpstreamTable::recordSlowness(Entry &entry, double sample, Instant now)
+{
+    const double age = toSeconds(now - entry.lastSample);
+    const double kept = entry.logSlowness * std::exp2(-std::max(0.0, age) / SlownessHalfLifeSeconds);
+    entry.logSlowness = kept + UpstreamSmoothing * (std::clamp(sample, -LargestLogSample, LargestLogSample) - kept);
+    entry.lastSample = now;
+}
+
+void UpstreamTable::recordFailure(UpstreamIndex index, Instant now, int weight)
+{
+    Entry &entry = m_entries[index];
+    entry.failuresInRow += weight;
+    if (entry.failuresInRow >= m_options.failuresToEject && !entry.ejectedUntil) {
+        eject(index, now);
+    }
+}
+
+void UpstreamTable::eject(UpstreamIndex index, Instant now)
+{
+    if (!mayEject()) {
+        return;
+    }
+    Entry &entry = m_entries[index];
+    const int doublings = std::min(entry.ejectionsInRow, 16);
+    entry.ejectedUntil = now + std::min(m_options.ejection * (1 << doublings), m_options.longestEjection);
+    ++entry.ejectionsInRow;
+    // One more failure after the return is enough to eject again.
+    entry.failuresInRow = m_options.failuresToEject - 1;
+}
+
+bool UpstreamTable::mayEject() const
+{
+    std::size_t live = 0;
+    std::size_t ejected = 0;
+    for (const Entry &entry : m_entries) {
+        const bool counts = entry.listed && entry.state == UpstreamState::Live;
+        live += counts ? 1 : 0;
+        ejected += counts && entry.ejectedUntil ? 1 : 0;
+    }
+    return 2 * (ejected + 1) <= live;
+}
+
+void UpstreamTable::tick(Instant now)
+{
+    const bool drifts = now - m_lastTick >= DriftInterval;
+    if (!drifts) {
+        return;
+    }
+    m_lastTick = now;
+    for (UpstreamIndex index = 0; index < m_entries.size(); ++index) {
+        Entry &entry = m_entries[index];
+        if (entry.ejectedUntil && now >= *entry.ejectedUntil) {
+            entry.ejectedUntil.reset();
+        }
+        if (entry.coldSince && now - *entry.coldSince >= m_options.coldStart) {
+            entry.coldSince.reset();
+        }
+        refresh(index, now);
+    }
+}
+
+int UpstreamTable::currentLimit(const Entry &entry, Instant now) const
+{
+    if (!entry.listed || entry.state != UpstreamState::Live || entry.ejectedUntil) {
+        return 0;
+    }
+    double share = entry.shareAfterShedding;
+    if (entry.coldSince) {
+        const double warm = toSeconds(now - *entry.coldSince) / std::max(toSeconds(m_options.coldStart), 1e-9);
+        share *= std::clamp(warm, ColdLimitStart, 1.0);
+    }
+    return std::max(1, static_cast<int>(entry.upstream.slots * share + 1e-9));
+}
+
+void UpstreamTable::refresh(UpstreamIndex index, Instant now)
+{
+    Entry &entry = m_entries[index];
+    const int limit = currentLimit(entry, now);
+    const double age = std::max(0.0, toSeconds(now - entry.lastSample));
+    const double slowness = std::exp(entry.logSlowness * std::exp2(-age / SlownessHalfLifeSeconds));
+    if (limit == entry.limit && slowness == entry.slowness) {
+        return;
+    }
+    m_totalLimit += limit - entry.limit;
+    m_usableCount += limit > 0 ? 1 : 0;
+    m_usableCount -= entry.limit > 0 ? 1 : 0;
+    m_fastLimit -= entry.slowness <= StragglerSlowness ? entry.limit : 0;
+    m_fastLimit += slowness <= StragglerSlowness ? limit : 0;
+    entry.limit = limit;
+    entry.slowness = slowness;
+    if (!entry.changed) {
+        entry.changed = true;
+        m_changed.push_back(index);
+    }
+}
+
+int UpstreamTable::limit(UpstreamIndex index) const
+{
+    return m_entries[index].limit;
+}
+
+int UpstreamTable::totalLimit() const
+{
+    return m_totalLimit;
+}
+
+std::size_t UpstreamTable::usableCount() const
+{
+    return m_usableCount;
+}
+
+int UpstreamTable::fastLimit() const
+{
+    return m_fastLimit;
+}
+
+double UpstreamTable::slowness(UpstreamIndex index) const
+{
+    return m_entries[index].slowness;
+}
+
+Duration UpstreamTable::meanServiceTime() const
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_meanSeconds));
+}
+
+std::span<const UpstreamIndex> UpstreamTable::takeChanged()
+{
+    std::swap(m_changed, m_taken);
+    m_changed.clear();
+    for (const UpstreamIndex index : m_taken) {
+        m_entries[index].changed = false;
+    }
+    return m_taken;
+}
+
+} // namespace Filbertmount
