Add the policy benchmark

Cause: the choice of late binding rested on an argument, not on a measurement. Change: scripts/bench policy runs eight policies and a bound through the same trace of requests, speed shifts, stragglers, drains and cold starts on a virtual clock.

--- /dev/null
+++ b/bench/policy.cpp
@@ -0,0 +1,198 @@
+// Compares routing policies on a virtual clock: the same trace of requests and disturbances goes through each of them.
+
+#include "policysim/runs.h"
+
+#include <nlohmann/json.hpp>
+#include <tclap/CmdLine.h>
+
+#include <cstdio>
+#include <iostream>
+
+using namespace Filbertmount;
+using namespace Filbertmount::PolicySim;
+
+namespace {
+
+constexpr std::array Loads = {0.50, 0.70, 0.85, 0.95};
+
+struct Options {
+    std::uint64_t seed = 1;
+    std::string service;
+    bool isJson = false;
+    Ticks length = 0;
+};
+
+nlohmann::json toJson(const Trace &trace, const Result &result)
+{
+    return {{"service", trace.profile.name},
+            {"load", trace.load},
+            {"policy", result.policy},
+            {"in_force", result.policy == PolicyInForce},
+            {"p50_ms", result.p50Ms},
+            {"p99_ms", result.p99Ms},
+            {"p999_ms", result.p999Ms},
+            {"missed_share", result.missedShare()},
+            {"probes_per_request", result.probesPerRequest},
+            {"bytes_per_request", result.bytesPerRequest},
+            {"measuring_share", result.measuringShare},
+            {"budget_share", result.budgetShare},
+            {"goodput_share", 1 - result.missedShare()}};
+}
+
+void printHeader()
+{
+    std::printf("%-13s %4s %-18s %8s %8s %8s %8s %7s %7s %9s %7s %8s\n",
+                "service",
+                "load",
+                "policy",
+                "p50 ms",
+                "p99 ms",
+                "p99.9 ms",
+                "missed",
+                "probes",
+                "bytes",
+                "measuring",
+                "budget",
+                "goodput");
+}
+
+void printRow(const Trace &trace, const Result &result)
+{
+    const std::string name = result.policy + (result.policy == PolicyInForce ? " *" : "");
+    std::printf("%-13s %3.0f%% %-18s %8.2f %8.2f %8.2f %7.3f%% %7.3f %7.0f %8.2f%% %6.0f%% %7.3f%%\n",
+                trace.profile.name.c_str(),
+                100 * trace.load,
+                name.c_str(),
+                result.p50Ms,
+                result.p99Ms,
+                result.p999Ms,
+                100 * result.missedShare(),
+                result.probesPerRequest,
+                result.bytesPerRequest,
+                100 * result.measuringShare,
+                100 * result.budgetShare,
+                100 * (1 - result.missedShare()));
+}
+
+void compare(const ServiceProfile &profile, const Options &options)
+{
+    for (const double load : Loads) {
+        const Trace trace = makeTrace(profile, {.load = load, .seed = options.seed, .length = options.length});
+        for (const Result &result : AllPolicies::run(trace)) {
+            if (options.isJson) {
+                std::cout << toJson(trace, result) << '\n';
+            } else {
+                printRow(trace, result);
+            }
+        }
+    }
+}
+
+void printFault(const char *name, const Trace &trace, const InstanceFault &fault)
+{
+    Simulation<LateBinding> simulation(trace, fault);
+    const Result result = simulation.run();
+    std::printf("%-13s %-13s %8.2f %8.2f %8.2f %7.3f%% %12llu %12llu %12llu\n",
+                trace.profile.name.c_str(),
+                name,
+                result.p50Ms,
+                result.p99Ms,
+                result.p999Ms,
+                100 * result.missedShare(),
+                static_cast<unsigned long long>(result.ownChoices),
+                static_cast<unsigned long long>(simulation.wrongEndings()),
+                static_cast<unsigned long long>(result.repeatedUnsafely));
+}
+
+/** Faults of the dispatcher between second 10 and 15, at 85% of the slots. */
+void showFaults(const ServiceProfile &profile, const Options &options)
+{
+    using Kind = InstanceFault::Kind;
+    constexpr Ticks second = 1'000'000'000;
+    const Trace trace = makeTrace(profile, {.load = 0.85, .seed = options.seed, .length = 30 * second});
+    printFault("none", trace, {});
+    printFault("disagreement", trace, {.kind = Kind::Disagreement, .from = 10 * second, .to = 15 * second});
+    printFault("death", trace, {.kind = Kind::Death, .from = 10 * second, .to = 100 * second});
+    printFault("freeze", trace, {.kind = Kind::Freeze, .from = 10 * second, .to = 11 * second});
+    printFault("cut off", trace, {.kind = Kind::CutOff, .from = 10 * second, .to = 15 * second});
+}
+
+template<class Policy>
+void printRecovery(const Trace &trace)
+{
+    const Result result = Simulation<Policy>(trace).run();
+    std::printf("%-13s %-18s", trace.profile.name.c_str(), Policy::Name);
+    for (std::size_t interval = 16; interval < std::min<std::size_t>(result.goodput.size(), 40); interval += 2) {
+        std::printf(" %5llu", static_cast<unsigned long long>(result.goodput[interval] + result.goodput[interval + 1]));
+    }
+    std::printf("\n");
+}
+
+/** Half of the upstreams run at a quarter of their speed from second 10 to 12, at 95% of the slots. */
+void showRecovery(const ServiceProfile &profile, const Options &options)
+{
+    constexpr Ticks second = 1'000'000'000;
+    const Trace trace = makeTrace(profile,
+                                  {.load = 0.95,
+                                   .seed = options.seed,
+                                   .length = 25 * second,
+                                   .triggerFrom = 10 * second,
+                                   .triggerTo = 12 * second,
+                                   .hasDrains = false,
+                                   .hasStragglers = false});
+    printRecovery<LateBinding>(trace);
+    printRecovery<LocalTwoChoices>(trace);
+}
+
+template<class Show>
+void forEachService(const Options &options, Show show)
+{
+    for (const ServiceProfile &profile : serviceProfiles()) {
+        if (options.service.empty() || options.service == profile.name) {
+            show(profile, options);
+        }
+    }
+}
+
+Options parse(int argc, char **argv)
+{
+    TCLAP::CmdLine line("Compares routing policies on a virtual clock.");
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of requests and disturbances", false, 1, "number", line);
+    TCLAP::ValueArg<std::string> service("", "service", "Only this service", false, "", "name", line);
+    TCLAP::ValueArg<int> seconds("", "seconds", "Length of a run in virtual seconds", false, 60, "number", line);
+    TCLAP::SwitchArg json("", "json", "One JSON object a line instead of tables", line);
+    line.parse(argc, argv);
+    return {.seed = seed.getValue(),
+            .service = service.getValue(),
+            .isJson = json.getValue(),
+            .length = Ticks{seconds.getValue()} * 1'000'000'000};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Options options = parse(argc, argv);
+    if (options.isJson) {
+        forEachService(options, compare);
+        return 0;
+    }
+    std::printf("seed %llu; * is the policy in force\n\n", static_cast<unsigned long long>(options.seed));
+    printHeader();
+    forEachService(options, compare);
+    std::printf("\ndispatcher faults at 85%%, late_binding\n%-13s %-13s %8s %8s %8s %8s %12s %12s %12s\n",
+                "service",
+                "fault",
+                "p50 ms",
+                "p99 ms",
+                "p99.9 ms",
+                "missed",
+                "own choices",
+                "wrong ends",
+                "unsafe runs");
+    forEachService(options, showFaults);
+    std::printf(
+        "\nrequests answered in time per second, from second 8 on; half of the upstreams are slow in seconds 10 and 11\n");
+    forEachService(options, showRecovery);
+    return 0;
+}
--- /dev/null
+++ b/bench/policysim/runs.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "baselines.h"
+#include "bound.h"
+#include "latebinding.h"
+#include "simulation.h"
+
+#include <vector>
+
+namespace Filbertmount::PolicySim {
+
+template<class... Policies>
+struct PolicyList {
+    /** Runs every policy on the same trace. */
+    static std::vector<Result> run(const Trace &trace)
+    {
+        std::vector<Result> results;
+        (results.push_back(Simulation<Policies>(trace).run()), ...);
+        results.push_back(Bound(trace).run());
+        return results;
+    }
+};
+
+using AllPolicies =
+    PolicyList<RoundRobin, Random, LocalTwoChoices, LatencyAverage, ProbePool, LoadOnAnswers, SharedCounts, LateBinding>;
+
+inline constexpr const char *PolicyInForce = LateBinding::Name;
+
+} // namespace Filbertmount::PolicySim
