Add the platform stand-in and tests of the store adapter

Cause: the store adapter had no tests, and other modules need a store on loopback. Ruled out: a stand-in for tests only; the program and the tests share the class, so the scripts meet the same behaviour. Found by the tests: the rows of the instance list were read through a reference into a temporary, so a list looked empty, and a negative revision was accepted. Both are fixed and covered.

--- a/include/filbertmount/settings/instancesettings.h
+++ b/include/filbertmount/settings/instancesettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <filbertmount/telemetry/log.h>
 #include <filbertmount/types/endpoint.h>
 #include <filbertmount/types/ids.h>
 #include <filbertmount/types/instant.h>
@@ -21,13 +22,6 @@
     std::vector<TokenHash> tokens;
 };
 
-enum class LogLevel : std::uint8_t {
-    Debug,
-    Info,
-    Warning,
-    Error,
-};
-
 /** Who this instance is. */
 struct IdentitySettings {
     /** Drawn at random when the settings name none, so that a restarted process has a new one. */
--- a/src/document/documentvalue.cpp
+++ b/src/document/documentvalue.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <stdexcept>
+
 namespace Filbertmount {
 
 namespace {
@@ -18,6 +20,10 @@
 
 DocumentChange decodeChange(const nlohmann::json &json)
 {
+    // nlohmann-json converts a negative number to an unsigned one without an error.
+    if (!json.at("predecessor").is_number_unsigned()) {
+        throw std::invalid_argument("predecessor is no unsigned number");
+    }
     return {.predecessor = Revision(json.at("predecessor").get<std::uint64_t>()),
             .author = json.at("author").get<std::string>(),
             .time = {json.at("time").get<std::int64_t>()},
@@ -72,7 +78,7 @@
 {
     try {
         return decodeValue(nlohmann::json::parse(bytes));
-    } catch (const nlohmann::json::exception &error) {
+    } catch (const std::exception &error) {
         return boost::leaf::new_error(
             Failure{.step = Step::ReadDocument, .peer = peer, .reason = "not a document value: " + std::string(error.what())});
     }
--- a/src/store/storeanswer.cpp
+++ b/src/store/storeanswer.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <stdexcept>
 
 namespace Filbertmount {
 
@@ -58,9 +59,19 @@
         && (answer.status == HttpOk || answer.status == HttpCreated || answer.status == HttpNoContent);
 }
 
+// nlohmann-json converts a negative number to an unsigned one without an error.
+std::uint64_t unsignedNumber(const nlohmann::json &json, const char *key)
+{
+    const nlohmann::json &number = json.at(key);
+    if (!number.is_number_unsigned()) {
+        throw std::invalid_argument(std::string(key) + " is no unsigned number");
+    }
+    return number.get<std::uint64_t>();
+}
+
 StoreObject parseObject(const nlohmann::json &json)
 {
-    StoreObject object{.key = json.at("key").get<std::string>(), .revision = Revision(json.at("revision").get<std::uint64_t>())};
+    StoreObject object{.key = json.at("key").get<std::string>(), .revision = Revision(unsignedNumber(json, "revision"))};
     if (!absl::Base64Unescape(json.at("value").get<std::string>(), &object.value)) {
         throw std::invalid_argument("a value is not base64");
     }
@@ -77,12 +88,12 @@
             .address = json.at("address").get<std::string>(),
             .zone = AvailabilityZone(json.at("zone").get<std::string>()),
             .state = state == "live" ? ListedState::Live : ListedState::Leaving,
-            .incarnation = Incarnation(json.at("incarnation").get<std::uint64_t>())};
+            .incarnation = Incarnation(unsignedNumber(json, "incarnation"))};
 }
 
 StoreListing parseListing(const nlohmann::json &json)
 {
-    StoreListing listing{.outcome = StoreOutcome::Done, .revision = Revision(json.at("revision").get<std::uint64_t>())};
+    StoreListing listing{.outcome = StoreOutcome::Done, .revision = Revision(unsignedNumber(json, "revision"))};
     for (const nlohmann::json &object : json.at("objects")) {
         listing.objects.push_back(parseObject(object));
     }
@@ -173,7 +184,8 @@
     }
     try {
         InstanceListing listing{.outcome = StoreOutcome::Done};
-        for (const nlohmann::json &instance : nlohmann::json::parse(answer.body).at("instances")) {
+        const nlohmann::json json = nlohmann::json::parse(answer.body);
+        for (const nlohmann::json &instance : json.at("instances")) {
             listing.instances.push_back(parseInstance(instance));
         }
         return listing;
--- /dev/null
+++ b/standins/platform/platformserver.cpp
@@ -0,0 +1,263 @@
+#include "platformserver.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <nlohmann/json.hpp>
+
+namespace Filbertmount::StandIn {
+
+namespace {
+
+constexpr std::size_t MaxValueBytes = 1'000'000;
+constexpr unsigned MaxConnections = 400;
+const std::string ObjectsPath = "/objects/";
+
+ServerAnswer plain(int status, const std::string &text)
+{
+    return {.status = status, .contentType = "text/plain", .body = text + "\n"};
+}
+
+std::string etag(Revision revision)
+{
+    return "\"" + std::to_string(revision.value()) + "\"";
+}
+
+ServerAnswer listingAnswer(const StoreListing &listing)
+{
+    nlohmann::json json{{"revision", listing.revision.value()}, {"objects", nlohmann::json::array()}};
+    for (const StoreObject &object : listing.objects) {
+        json["objects"].push_back(
+            {{"key", object.key}, {"revision", object.revision.value()}, {"value", absl::Base64Escape(object.value)}});
+    }
+    return {.body = json.dump()};
+}
+
+std::optional<std::uint64_t> number(const std::string &text)
+{
+    std::uint64_t value = 0;
+    return absl::SimpleAtoi(text, &value) ? std::optional(value) : std::nullopt;
+}
+
+std::string operationOf(const ServerRequest &request)
+{
+    if (request.path == "/watch") {
+        return "watch";
+    }
+    if (request.path == "/instances") {
+        return "instances";
+    }
+    if (request.path == "/objects") {
+        return "list";
+    }
+    return request.method == "PUT" ? "write" : "read";
+}
+
+/** The condition of a write, or an error. */
+struct Condition {
+    bool valid = true;
+    std::optional<Revision> expected;
+};
+
+Condition conditionOf(const ServerRequest &request)
+{
+    if (request.header("if-none-match") == "*") {
+        return {.expected = AbsentRevision};
+    }
+    const std::string match = request.header("if-match");
+    if (match.empty()) {
+        return {};
+    }
+    const bool quoted = match.size() > 2 && match.front() == '"' && match.back() == '"';
+    const auto revision = quoted ? number(match.substr(1, match.size() - 2)) : std::nullopt;
+    return revision ? Condition{.expected = Revision(*revision)} : Condition{.valid = false};
+}
+
+Faults parseFaults(const std::string &text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text);
+    return {.down = json.value("down", false),
+            .slowMs = json.value("slow_ms", std::int64_t{0}),
+            .loseAnswers = json.value("lose_answers", std::int64_t{0}),
+            .dropCalls = json.value("drop_calls", std::int64_t{0}),
+            .listLagMs = json.value("list_lag_ms", std::int64_t{0})};
+}
+
+std::string faultsText(const Faults &faults)
+{
+    return nlohmann::json{{"down", faults.down},
+                          {"slow_ms", faults.slowMs},
+                          {"lose_answers", faults.loseAnswers},
+                          {"drop_calls", faults.dropCalls},
+                          {"list_lag_ms", faults.listLagMs}}
+        .dump();
+}
+
+} // namespace
+
+PlatformServer::PlatformServer(Endpoint address)
+    : m_server({.address = std::move(address), .maxBodyBytes = MaxValueBytes, .maxConnections = MaxConnections},
+               [this](const ServerRequest &request) {
+                   return handle(request);
+               })
+{
+}
+
+PlatformServer::~PlatformServer()
+{
+    stop();
+}
+
+Result<void> PlatformServer::start()
+{
+    return m_server.start();
+}
+
+void PlatformServer::stop()
+{
+    if (!m_stopping.HasBeenNotified()) {
+        m_stopping.Notify();
+    }
+    m_objects.shutDown();
+    m_server.stop();
+}
+
+std::string PlatformServer::address() const
+{
+    Endpoint endpoint = m_server.options().address;
+    endpoint.port = m_server.port();
+    return endpoint.text();
+}
+
+ObjectTable &PlatformServer::objects()
+{
+    return m_objects;
+}
+
+InstanceTable &PlatformServer::instances()
+{
+    return m_instances;
+}
+
+FaultSwitches &PlatformServer::faults()
+{
+    return m_faults;
+}
+
+ServerAnswer PlatformServer::handle(const ServerRequest &request)
+{
+    if (request.path == "/faults" || request.path == "/counters") {
+        return control(request);
+    }
+    if (request.path == "/instances" && request.method == "PUT") {
+        return setInstances(request);
+    }
+    return handlePlatformCall(request);
+}
+
+ServerAnswer PlatformServer::handlePlatformCall(const ServerRequest &request)
+{
+    m_faults.count(operationOf(request));
+    const Faults faults = m_faults.faults();
+    if (faults.slowMs > 0) {
+        m_stopping.WaitForNotificationWithTimeout(absl::Milliseconds(faults.slowMs));
+    }
+    if (m_faults.takeDroppedCall()) {
+        return {.drop = true};
+    }
+    if (faults.down) {
+        ServerAnswer answer = plain(503, "the store is down");
+        answer.headers.emplace_back("Request-Not-Run", "shedding");
+        return answer;
+    }
+    return dispatch(request);
+}
+
+ServerAnswer PlatformServer::dispatch(const ServerRequest &request)
+{
+    const bool object = absl::StartsWith(request.path, ObjectsPath) && request.path.size() > ObjectsPath.size();
+    if (object && request.method == "PUT") {
+        return writeObject(request.path.substr(ObjectsPath.size()), request);
+    }
+    if (request.method != "GET") {
+        return plain(405, "only GET and PUT are supported");
+    }
+    if (object) {
+        return readObject(request.path.substr(ObjectsPath.size()));
+    }
+    if (request.path == "/objects") {
+        return listingAnswer(m_objects.changes(request.parameter("prefix"), AbsentRevision));
+    }
+    if (request.path == "/watch") {
+        return watch(request);
+    }
+    if (request.path == "/instances") {
+        return {.body = m_instances.visible(request.parameter("service"))};
+    }
+    return plain(404, "unknown path");
+}
+
+ServerAnswer PlatformServer::readObject(const std::string &key)
+{
+    const std::optional<StoreObject> object = m_objects.read(key);
+    if (!object) {
+        return plain(404, "no such object");
+    }
+    return {.contentType = "application/octet-stream", .body = object->value, .headers = {{"ETag", etag(object->revision)}}};
+}
+
+ServerAnswer PlatformServer::writeObject(const std::string &key, const ServerRequest &request)
+{
+    const Condition condition = conditionOf(request);
+    if (!condition.valid) {
+        return plain(400, "If-Match is no quoted revision");
+    }
+    const std::optional<Revision> revision = m_objects.update(key, request.body, condition.expected);
+    if (!revision) {
+        return plain(412, "the object has another revision");
+    }
+    if (m_faults.takeLostAnswer()) {
+        return {.drop = true};
+    }
+    return {.body = "{}", .headers = {{"ETag", etag(*revision)}}};
+}
+
+ServerAnswer PlatformServer::watch(const ServerRequest &request)
+{
+    const auto after = number(request.parameter("after"));
+    const auto waitMs = number(request.parameter("wait_ms"));
+    if (!after || !waitMs) {
+        return plain(400, "after and wait_ms must be numbers");
+    }
+    const absl::Duration wait = absl::Milliseconds(static_cast<std::int64_t>(*waitMs));
+    return listingAnswer(m_objects.waitForChanges(request.parameter("prefix"), Revision(*after), wait));
+}
+
+ServerAnswer PlatformServer::setInstances(const ServerRequest &request)
+{
+    if (!nlohmann::json::accept(request.body) || request.parameter("service").empty()) {
+        return plain(400, "expected a service and a JSON body");
+    }
+    m_instances.set(request.parameter("service"), request.body, absl::Milliseconds(m_faults.faults().listLagMs));
+    return {.body = "{}"};
+}
+
+ServerAnswer PlatformServer::control(const ServerRequest &request)
+{
+    if (request.path == "/counters") {
+        if (request.method == "DELETE") {
+            m_faults.resetCounts();
+        }
+        return {.body = nlohmann::json(m_faults.counts()).dump()};
+    }
+    if (request.method == "PUT") {
+        try {
+            m_faults.set(parseFaults(request.body));
+        } catch (const nlohmann::json::exception &error) {
+            return plain(400, error.what());
+        }
+    }
+    return {.body = faultsText(m_faults.faults())};
+}
+
+} // namespace Filbertmount::StandIn
--- /dev/null
+++ b/standins/platform/platformserver.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "faultswitches.h"
+#include "instancetable.h"
+#include "objecttable.h"
+
+#include "http/blockingserver.h"
+
+#include <absl/synchronization/notification.h>
+
+#include <string>
+
+namespace Filbertmount::StandIn {
+
+/**
+ * Stand-in for the platform's object store and instance list over HTTP.
+ * GET and PUT /faults switch faults, GET and DELETE /counters read and reset the counts of calls.
+ */
+class PlatformServer
+{
+public:
+    explicit PlatformServer(Endpoint address = {.ip = "127.0.0.1"});
+    ~PlatformServer();
+    PlatformServer(const PlatformServer &) = delete;
+    PlatformServer &operator=(const PlatformServer &) = delete;
+
+    Result<void> start();
+    /** Ends waiting watches and stops listening. The objects stay. */
+    void stop();
+    /** "IP:port" that is listened on. */
+    [[nodiscard]] std::string address() const;
+
+    ObjectTable &objects();
+    InstanceTable &instances();
+    FaultSwitches &faults();
+
+private:
+    ServerAnswer handle(const ServerRequest &request);
+    ServerAnswer handlePlatformCall(const ServerRequest &request);
+    ServerAnswer dispatch(const ServerRequest &request);
+    ServerAnswer readObject(const std::string &key);
+    ServerAnswer writeObject(const std::string &key, const ServerRequest &request);
+    ServerAnswer watch(const ServerRequest &request);
+    ServerAnswer setInstances(const ServerRequest &request);
+    ServerAnswer control(const ServerRequest &request);
+
+    ObjectTable m_objects;
+    InstanceTable m_instances;
+    FaultSwitches m_faults;
+    absl::Notification m_stopping;
+    BlockingServer m_server;
+};
+
+} // namespace Filbertmount::StandIn
--- a/tests/document/documentvaluetest.cpp
+++ b/tests/document/documentvaluetest.cpp
@@ -58,7 +58,11 @@
 
 TEST_CASE("bytes that are no document value are refused with step and peer")
 {
-    for (const char *bytes : {"", "x", "[]", "{}", R"({"document":1})", R"({"document":"","team":"a","author":"b"})"}) {
+    const std::string value = R"({"document":"","team":"a","author":"b","change_id":"c","deleted":false,"history":[)";
+    const std::string negativePredecessor =
+        value + R"({"predecessor":-1,"author":"b","time":0,"change_id":"c","deleted":false,"text":""}]})";
+    for (const char *bytes :
+         {"", "x", "[]", "{}", R"({"document":1})", R"({"document":"","team":"a","author":"b"})", negativePredecessor.c_str()}) {
         CAPTURE(bytes);
         CHECK(failureOf(bytes).rfind("read-document: 127.0.0.1:9: not a document value", 0) == 0);
     }
--- /dev/null
+++ b/tests/support/platform.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "platform/platformserver.h"
+#include "support/results.h"
+
+namespace Filbertmount {
+
+/** A started platform stand-in on a free port. */
+class RunningPlatform
+{
+public:
+    RunningPlatform()
+    {
+        requireDone([this]() {
+            return m_server.start();
+        });
+    }
+
+    StandIn::PlatformServer *operator->()
+    {
+        return &m_server;
+    }
+
+private:
+    StandIn::PlatformServer m_server;
+};
+
+} // namespace Filbertmount
--- a/tests/support/results.h
+++ b/tests/support/results.h
@@ -31,6 +31,16 @@
         .value();
 }
 
+/** Fails the test with the failure's text unless @p function's Result<void> is a success. */
+template<class Function>
+void requireDone(Function function)
+{
+    requireValue([&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(function());
+        return true;
+    });
+}
+
 /** Returns the error object of type @p Error that @p function's Result carries; fails the test if there is none. */
 template<class Error, class Function>
 Error requireError(Function function)
