--- a/src/document/routetable.cpp
+++ b/src/document/routetable.cpp
@@ -116,10 +116,10 @@
     }
 }
 
-RouteMatch RouteTable::find(std::string_view method, std::string_view target) const
+RouteChoice RouteTable::find(std::string_view method, std::string_view target) const
 {
     const RequestPath path = parsePath(target);
-    RouteMatch match;
+    RouteChoice match;
     for (const Entry &entry : m_entries) {
         if (!matches(entry.segments, path.segments)) {
             continue;
