--- /dev/null
+++ b/src/claims/claimcoordinator.cpp
@@ -0,0 +1,317 @@
+#include <filbertmount/claims/claimcoordinator.h>
+
+#include <filbertmount/types/rendezvoushash.h>
+
+#include "claimmessages.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Filbertmount {
+
+namespace {
+
+// The store's clock has whole seconds, so a last time is given one second of room.
+constexpr std::int64_t StoreTimeRoomSeconds = 1;
+constexpr Duration SweepInterval = std::chrono::seconds(1);
+// Twice the age at which views are read again, so that no view from before the claim's last time is left.
+constexpr int ForgetViewAges = 2;
+
+std::uint32_t wholeSeconds(Duration duration)
+{
+    const std::int64_t seconds = std::chrono::ceil<std::chrono::seconds>(duration).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(seconds, 0, INT32_MAX));
+}
+
+} // namespace
+
+ClaimCoordinator::ClaimCoordinator(InstanceId self, const ClaimOptions &options)
+    : m_self(std::move(self))
+    , m_options(options)
+    , m_health(m_options)
+{
+}
+
+void ClaimCoordinator::setMembers(std::vector<InstanceId> members)
+{
+    m_members = std::move(members);
+    m_health.keepOnly(m_members);
+}
+
+void ClaimCoordinator::claim(RequestId request, const ClaimId &id, Duration retention, Instant now)
+{
+    if (openOperations() >= m_options.maxOpenOperations) {
+        m_commands.emplace_back(ClaimDecided{.request = request, .answer = {}});
+        return;
+    }
+    LocalClaim &claim = m_claims[id.nonce];
+    claim = {.request = request, .id = id, .retentionSeconds = wholeSeconds(retention), .startedAt = now};
+    const InstanceId writer = preferredWriter(claimShardObject(id.service, id.key), now);
+    // Without an estimate of the store's clock a forwarded claim could not be given a last time.
+    if (writer.empty() || m_storeTime == StoreTime{}) {
+        claimOneself(claim, now);
+    } else {
+        forwardClaim(claim, writer, now);
+    }
+    run(now);
+}
+
+void ClaimCoordinator::complete(const ClaimId &id, int status, Instant now)
+{
+    followUp(id, {.kind = ShardOperationKind::Complete, .key = id.key, .nonce = id.nonce, .status = status}, now);
+    run(now);
+}
+
+void ClaimCoordinator::release(const ClaimId &id, Instant now)
+{
+    followUp(id, {.kind = ShardOperationKind::Release, .key = id.key, .nonce = id.nonce, .fenceAfter = id.forwardedUntil}, now);
+    run(now);
+}
+
+void ClaimCoordinator::forwardClaim(LocalClaim &claim, const InstanceId &writer, Instant now)
+{
+    claim.writer = writer;
+    claim.forwardOpen = true;
+    claim.notAfter.seconds = estimatedStoreTime(now).seconds + wholeSeconds(m_options.claimTimeout) + StoreTimeRoomSeconds;
+    claim.fallbackAt = now + m_health.timeout(writer);
+    const ShardOperation operation{
+        .key = claim.id.key, .nonce = claim.id.nonce, .retentionSeconds = claim.retentionSeconds, .notAfter = claim.notAfter};
+    m_commands.emplace_back(ClaimMessage{.to = writer, .body = claimRequestMessage(claim.id.service, operation, ++m_lastNumber)});
+    ++m_statistics.forwarded;
+}
+
+void ClaimCoordinator::claimOneself(LocalClaim &claim, Instant now)
+{
+    const ShardOperation operation{.key = claim.id.key,
+                                   .nonce = claim.id.nonce,
+                                   .retentionSeconds = claim.retentionSeconds,
+                                   .deadline = claim.startedAt + m_options.claimTimeout};
+    claim.operation = addOperation(claim.id.service, operation, {.nonce = claim.id.nonce}, now);
+}
+
+void ClaimCoordinator::followUp(const ClaimId &id, const ShardOperation &operation, Instant now)
+{
+    const InstanceId writer = preferredWriter(claimShardObject(id.service, id.key), now);
+    // A late entry of a forwarded claim is removed by this instance, which knows the time to wait for.
+    if (writer.empty() || operation.fenceAfter != StoreTime{}) {
+        addOperation(id.service, operation, {.kind = operation.kind, .nonce = id.nonce}, now);
+        return;
+    }
+    const bool completion = operation.kind == ShardOperationKind::Complete;
+    const Duration timeout = completion ? m_options.completionDelay + m_options.forwardTimeoutLimit : m_health.timeout(writer);
+    m_followUps[id.nonce] = {.operation = operation, .id = id, .writer = writer, .sentAt = now, .fallbackAt = now + timeout};
+    m_commands.emplace_back(ClaimMessage{.to = writer, .body = claimRequestMessage(id.service, operation, ++m_lastNumber)});
+}
+
+void ClaimCoordinator::decide(const ClaimNonce &nonce, const ShardResult &result, Instant now)
+{
+    const auto found = m_claims.find(nonce);
+    if (found == m_claims.end()) {
+        return;
+    }
+    const LocalClaim claim = found->second;
+    m_claims.erase(found);
+    ClaimAnswer answer{.decision = result.decision, .id = claim.id, .status = result.status};
+    answer.dispatchBefore = claim.startedAt + m_options.dispatchWindow;
+    if (claim.forwardOpen) {
+        answer.id.forwardedUntil = claim.notAfter;
+    }
+    const bool tooLate = answer.decision == ClaimDecision::Owned && now >= answer.dispatchBefore;
+    if (tooLate) {
+        answer.decision = ClaimDecision::Unavailable;
+    }
+    if (tooLate || (answer.decision != ClaimDecision::Owned && (result.mayBeWritten || claim.forwardOpen))) {
+        release(answer.id, now);
+    }
+    m_commands.emplace_back(ClaimDecided{.request = claim.request, .answer = answer});
+}
+
+void ClaimCoordinator::tick(Instant now)
+{
+    fallBack(now);
+    for (const std::string &object : m_active) {
+        if (m_shards.at(object)->writer.wakeAt() <= now) {
+            m_dirty.insert(object);
+        }
+    }
+    run(now);
+    if (now - m_lastSweep >= SweepInterval) {
+        m_lastSweep = now;
+        sweep(now);
+    }
+}
+
+void ClaimCoordinator::fallBack(Instant now)
+{
+    for (auto &[nonce, claim] : m_claims) {
+        if (claim.operation == 0 && claim.fallbackAt <= now) {
+            ++m_statistics.fallbacks;
+            m_health.timedOut(claim.writer, now);
+            claimOneself(claim, now);
+        }
+    }
+    std::vector<FollowUp> late;
+    for (const auto &[nonce, followUp] : m_followUps) {
+        if (followUp.fallbackAt <= now) {
+            late.push_back(followUp);
+        }
+    }
+    for (const FollowUp &followUp : late) {
+        ++m_statistics.fallbacks;
+        m_followUps.erase(followUp.id.nonce);
+        addOperation(followUp.id.service, followUp.operation, {.kind = followUp.operation.kind, .nonce = followUp.id.nonce}, now);
+    }
+}
+
+std::uint64_t ClaimCoordinator::addOperation(const ServiceName &service, ShardOperation operation, Waiting waiting, Instant now)
+{
+    const std::string object = claimShardObject(service, operation.key);
+    operation.id = ++m_lastNumber;
+    shard(object).writer.add(operation, now);
+    m_waiting[operation.id] = std::move(waiting);
+    m_active.insert(object);
+    m_dirty.insert(object);
+    return operation.id;
+}
+
+ClaimCoordinator::Shard &ClaimCoordinator::shard(const std::string &object)
+{
+    std::unique_ptr<Shard> &entry = m_shards[object];
+    if (!entry) {
+        const std::uint64_t seed = m_options.seed ^ stableHash(m_self.value() + object);
+        entry = std::make_unique<Shard>(Shard{.object = object, .writer = ShardWriter(m_options, seed)});
+    }
+    return *entry;
+}
+
+void ClaimCoordinator::run(Instant now)
+{
+    while (!m_dirty.empty()) {
+        const std::string object = *m_dirty.begin();
+        m_dirty.erase(m_dirty.begin());
+        step(shard(object), now);
+    }
+}
+
+void ClaimCoordinator::step(Shard &shard, Instant now)
+{
+    if (std::optional<ShardCall> call = shard.writer.step(now)) {
+        const bool write = std::holds_alternative<ShardWrite>(*call);
+        ++(write ? m_statistics.storeWrites : m_statistics.storeReads);
+        const std::uint64_t number = ++m_lastNumber;
+        m_calls[number] = {.object = shard.object, .write = write};
+        m_commands.emplace_back(ClaimStoreCall{.number = number, .object = shard.object, .call = std::move(*call)});
+    }
+    for (const ShardResult &result : shard.writer.takeResults()) {
+        deliver(result, now);
+    }
+    if (shard.writer.idle()) {
+        m_active.erase(shard.object);
+    }
+}
+
+void ClaimCoordinator::deliver(const ShardResult &result, Instant now)
+{
+    const auto found = m_waiting.find(result.id);
+    if (found == m_waiting.end()) {
+        return;
+    }
+    const Waiting waiting = std::move(found->second);
+    m_waiting.erase(found);
+    if (!waiting.from.empty()) {
+        answerPeer(waiting, result);
+        return;
+    }
+    if (waiting.kind == ShardOperationKind::Claim) {
+        decide(waiting.nonce, result, now);
+    }
+}
+
+void ClaimCoordinator::finishStoreCall(std::uint64_t number, const StoreReply &reply, Instant now)
+{
+    const auto found = m_calls.find(number);
+    if (found == m_calls.end()) {
+        return;
+    }
+    const Call call = std::move(found->second);
+    m_calls.erase(found);
+    noteStoreTime(reply.time, now);
+    ShardWriter &writer = shard(call.object).writer;
+    if (call.write) {
+        writer.finishWrite(reply, now);
+    } else {
+        writer.finishRead(reply, now);
+    }
+    m_dirty.insert(call.object);
+    run(now);
+}
+
+void ClaimCoordinator::noteStoreTime(StoreTime time, Instant now)
+{
+    if (time > m_storeTime) {
+        m_storeTime = time;
+        m_storeTimeAt = now;
+    }
+}
+
+StoreTime ClaimCoordinator::estimatedStoreTime(Instant now) const
+{
+    const auto passed = std::chrono::duration_cast<std::chrono::seconds>(now - m_storeTimeAt).count();
+    return {.seconds = m_storeTime.seconds + std::max<std::int64_t>(passed, 0)};
+}
+
+InstanceId ClaimCoordinator::preferredWriter(const std::string &object, Instant now) const
+{
+    const std::vector<InstanceId> order = rendezvousOrder(object, m_members, 1);
+    if (order.empty() || order.front() == m_self || !m_health.usable(order.front(), now)) {
+        return {};
+    }
+    return order.front();
+}
+
+void ClaimCoordinator::sweep(Instant now)
+{
+    m_forwarded.forget(now - (m_options.viewAge * ForgetViewAges));
+    std::size_t cached = 0;
+    for (const auto &[object, entry] : m_shards) {
+        cached += entry->writer.cachedClaims();
+    }
+    const Duration keep = cached > m_options.maxCachedClaims ? SweepInterval : m_options.shardIdle;
+    std::erase_if(m_shards, [&](const auto &entry) {
+        const ShardWriter &writer = entry.second->writer;
+        return writer.idle() && now - writer.lastUse() > keep;
+    });
+}
+
+std::vector<ClaimCommand> ClaimCoordinator::takeCommands()
+{
+    return std::exchange(m_commands, {});
+}
+
+Instant ClaimCoordinator::wakeAt() const
+{
+    Instant wake = Instant::max();
+    for (const std::string &object : m_active) {
+        wake = std::min(wake, m_shards.at(object)->writer.wakeAt());
+    }
+    for (const auto &[nonce, claim] : m_claims) {
+        if (claim.operation == 0) {
+            wake = std::min(wake, claim.fallbackAt);
+        }
+    }
+    for (const auto &[nonce, followUp] : m_followUps) {
+        wake = std::min(wake, followUp.fallbackAt);
+    }
+    return wake;
+}
+
+std::size_t ClaimCoordinator::openOperations() const
+{
+    std::size_t forwarded = m_followUps.size();
+    for (const auto &[nonce, claim] : m_claims) {
+        forwarded += claim.operation == 0 ? 1 : 0;
+    }
+    return m_waiting.size() + forwarded;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/claims/claimtypes.cpp
@@ -0,0 +1,41 @@
+#include <filbertmount/claims/claimtypes.h>
+
+#include <openssl/rand.h>
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace Filbertmount {
+
+ClaimKey claimKey(const std::string &idempotencyKey)
+{
+    std::array<std::uint8_t, SHA256_DIGEST_LENGTH> digest{};
+    const auto *bytes = reinterpret_cast<const unsigned char *>(idempotencyKey.data());
+    SHA256(bytes, idempotencyKey.size(), digest.data());
+    ClaimKey key{};
+    std::copy_n(digest.begin(), key.size(), key.begin());
+    return key;
+}
+
+ClaimNonce randomClaimNonce()
+{
+    ClaimNonce nonce{};
+    // Two attempts with one nonce would both own the claim, so a weaker source is no substitute.
+    if (RAND_bytes(nonce.data(), static_cast<int>(nonce.size())) != 1) {
+        throw std::runtime_error("the system's random source failed");
+    }
+    return nonce;
+}
+
+unsigned claimShardNumber(const ClaimKey &key)
+{
+    return key[0] % ClaimShardsPerService;
+}
+
+std::string claimShardObject(const ServiceName &service, const ClaimKey &key)
+{
+    return "claims/" + service.value() + "/" + std::to_string(claimShardNumber(key));
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/claims/shardwriter.cpp
@@ -0,0 +1,234 @@
+#include <filbertmount/claims/shardwriter.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Filbertmount {
+
+namespace {
+
+// A shard written within this time is busy: a claim then waits for others to share its write.
+constexpr Duration BusyInterval = std::chrono::milliseconds(20);
+// Longest random wait after the first conflict, so that two writers of one shard do not meet again.
+constexpr Duration ConflictJitter = std::chrono::milliseconds(2);
+constexpr int MaxBackOffSteps = 10;
+
+} // namespace
+
+ShardWriter::ShardWriter(const ClaimOptions &options, std::uint64_t seed)
+    : m_options(options)
+    , m_random(seed)
+{
+}
+
+void ShardWriter::add(const ShardOperation &operation, Instant now)
+{
+    const bool busy = m_lastWriteAt && now - *m_lastWriteAt < BusyInterval;
+    Duration wait = busy ? m_options.batchDelay : Duration(0);
+    if (operation.kind == ShardOperationKind::Complete) {
+        wait = m_options.completionDelay;
+    }
+    m_queue.push_back({.operation = operation, .queuedAt = now, .dueAt = now + wait});
+    m_lastUse = now;
+}
+
+bool ShardWriter::withdraw(std::uint64_t id)
+{
+    const auto found = std::find_if(m_queue.begin(), m_queue.end(), [id](const Queued &queued) {
+        return queued.operation.id == id && !queued.withdrawn;
+    });
+    if (found == m_queue.end()) {
+        return false;
+    }
+    const bool mayBeWritten = found->inWrite || found->mayBeWritten;
+    found->withdrawn = true;
+    dropFinished();
+    return mayBeWritten;
+}
+
+std::optional<ShardCall> ShardWriter::step(Instant now)
+{
+    expireClaims(now);
+    const bool due = std::any_of(m_queue.begin(), m_queue.end(), [now](const Queued &queued) {
+        return !queued.withdrawn && queued.dueAt <= now;
+    });
+    if (m_call != Call::None || now < m_retryAt || !due) {
+        return std::nullopt;
+    }
+    m_lastUse = now;
+    if (m_refresh || !m_view || now - m_view->startedAt > m_options.viewAge) {
+        return startRead(now);
+    }
+    const Plan next = plan(now);
+    dropFinished();
+    if (next == Plan::Nothing) {
+        return std::nullopt;
+    }
+    return next == Plan::Read ? startRead(now) : startWrite(now);
+}
+
+ShardCall ShardWriter::startRead(Instant now)
+{
+    m_call = Call::Read;
+    m_callStartedAt = now;
+    return ShardRead{};
+}
+
+ShardCall ShardWriter::startWrite(Instant now)
+{
+    m_call = Call::Write;
+    m_callStartedAt = now;
+    return ShardWrite{.value = m_planned.serialize(), .base = m_view->revision};
+}
+
+void ShardWriter::finishRead(const StoreReply &reply, Instant now)
+{
+    m_call = Call::None;
+    const bool answered = reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::Absent;
+    const Revision revision = reply.outcome == StoreOutcome::Done ? reply.object.revision : AbsentRevision;
+    // Without the store's time nothing can be stamped, pruned or fenced.
+    if (!answered || reply.time == StoreTime{} || revision < m_minRevision) {
+        storeFailed(now);
+        return;
+    }
+    Result<ClaimShard> shard = ClaimShard::parse(reply.outcome == StoreOutcome::Done ? reply.object.value : std::string());
+    if (!shard) {
+        storeFailed(now);
+        return;
+    }
+    m_failures = 0;
+    m_refresh = false;
+    m_minRevision = revision;
+    m_view = View{.shard = std::move(shard.value()), .revision = revision, .time = reply.time, .startedAt = m_callStartedAt};
+    if (m_unsettled && revision > *m_unsettled) {
+        m_unsettled.reset();
+    }
+}
+
+void ShardWriter::finishWrite(const StoreReply &reply, Instant now)
+{
+    m_call = Call::None;
+    m_lastWriteAt = now;
+    if (reply.outcome == StoreOutcome::Done) {
+        settleWrite(reply, now);
+        dropFinished();
+        return;
+    }
+    const bool noEffect = reply.outcome == StoreOutcome::Unavailable;
+    for (Queued &queued : m_queue) {
+        // A conflict counts as unsettled until the next view: the transport may have sent the write twice.
+        queued.mayBeWritten = queued.mayBeWritten || (queued.inWrite && !noEffect);
+        queued.inWrite = false;
+    }
+    if (!noEffect) {
+        m_refresh = true;
+        m_unsettled = m_view->revision;
+    }
+    dropFinished();
+    if (reply.outcome == StoreOutcome::Conflict) {
+        m_minRevision = Revision(m_view->revision.value() + 1);
+        m_retryAt = now + Duration(m_random() % static_cast<std::uint64_t>(ConflictJitter.count()));
+        return;
+    }
+    storeFailed(now);
+}
+
+void ShardWriter::settleWrite(const StoreReply &reply, Instant now)
+{
+    const StoreTime baseTime = m_view->time;
+    for (Queued &queued : m_queue) {
+        if (!queued.inWrite) {
+            continue;
+        }
+        queued.inWrite = false;
+        const StoreTime fence = queued.operation.fenceAfter;
+        if (queued.operation.kind == ShardOperationKind::Release && fence != StoreTime{} && baseTime <= fence) {
+            queued.dueAt = now + std::chrono::seconds(fence.seconds - baseTime.seconds + 1);
+            continue;
+        }
+        if (!queued.withdrawn) {
+            finish(queued, ClaimDecision::Owned);
+        }
+    }
+    m_failures = 0;
+    m_unsettled.reset();
+    m_minRevision = reply.object.revision;
+    m_refresh = reply.time == StoreTime{};
+    m_view =
+        View{.shard = std::move(m_planned), .revision = reply.object.revision, .time = reply.time, .startedAt = m_callStartedAt};
+}
+
+void ShardWriter::storeFailed(Instant now)
+{
+    ++m_failures;
+    m_retryAt = now + backOff();
+    if (m_failures < m_options.storeFailures) {
+        return;
+    }
+    for (Queued &queued : m_queue) {
+        if (queued.operation.kind == ShardOperationKind::Claim && !queued.withdrawn) {
+            finish(queued, ClaimDecision::Unavailable);
+        }
+    }
+    dropFinished();
+}
+
+void ShardWriter::expireClaims(Instant now)
+{
+    for (Queued &queued : m_queue) {
+        if (queued.operation.kind == ShardOperationKind::Claim && !queued.withdrawn && queued.operation.deadline <= now) {
+            finish(queued, ClaimDecision::Unavailable);
+        }
+    }
+    dropFinished();
+}
+
+void ShardWriter::finish(Queued &queued, ClaimDecision decision, int status)
+{
+    const bool mayBeWritten = decision != ClaimDecision::Owned && (queued.mayBeWritten || queued.inWrite);
+    m_results.push_back({.id = queued.operation.id, .decision = decision, .status = status, .mayBeWritten = mayBeWritten});
+    queued.withdrawn = true;
+}
+
+void ShardWriter::dropFinished()
+{
+    std::erase_if(m_queue, [](const Queued &queued) {
+        return queued.withdrawn && !queued.inWrite;
+    });
+}
+
+std::vector<ShardResult> ShardWriter::takeResults()
+{
+    return std::exchange(m_results, {});
+}
+
+Instant ShardWriter::wakeAt() const
+{
+    Instant wake = Instant::max();
+    for (const Queued &queued : m_queue) {
+        if (queued.withdrawn) {
+            continue;
+        }
+        if (m_call == Call::None) {
+            wake = std::min(wake, std::max(queued.dueAt, m_retryAt));
+        }
+        if (queued.operation.kind == ShardOperationKind::Claim) {
+            wake = std::min(wake, queued.operation.deadline);
+        }
+    }
+    return wake;
+}
+
+bool ShardWriter::idle() const
+{
+    return m_queue.empty() && m_call == Call::None;
+}
+
+Duration ShardWriter::backOff()
+{
+    const int steps = std::min(m_failures - 1, MaxBackOffSteps);
+    const Duration longest = std::min(m_options.retryDelay * (1 << steps), m_options.retryDelayLimit);
+    return (longest / 2) + Duration(m_random() % static_cast<std::uint64_t>((longest / 2).count() + 1));
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/claims/shardwriterplan.cpp
@@ -0,0 +1,138 @@
+// The part of ShardWriter that applies the queued operations to the view.
+#include <filbertmount/claims/shardwriter.h>
+
+namespace Filbertmount {
+
+ShardWriter::Plan ShardWriter::plan(Instant now)
+{
+    m_planned = m_view->shard;
+    m_planned.stamp(m_view->time);
+    m_planned.prune(m_view->time);
+    bool dirty = false;
+    const Plan result = planAll(now, &dirty);
+    if (result != Plan::Write) {
+        for (Queued &queued : m_queue) {
+            queued.inWrite = false;
+        }
+    }
+    return result;
+}
+
+ShardWriter::Plan ShardWriter::planAll(Instant now, bool *dirty)
+{
+    // Releases and completions go first: a resend of a refused request then shares the write of the release.
+    bool read = false;
+    for (const ShardOperationKind kind : {ShardOperationKind::Release, ShardOperationKind::Complete, ShardOperationKind::Claim}) {
+        for (Queued &queued : m_queue) {
+            if (queued.operation.kind == kind && !queued.withdrawn) {
+                read = planOne(queued, now, dirty) == Plan::Read || read;
+            }
+        }
+    }
+    if (read) {
+        return Plan::Read;
+    }
+    return *dirty ? Plan::Write : Plan::Nothing;
+}
+
+ShardWriter::Plan ShardWriter::planOne(Queued &queued, Instant now, bool *dirty)
+{
+    switch (queued.operation.kind) {
+    case ShardOperationKind::Claim:
+        return planClaim(queued, dirty);
+    case ShardOperationKind::Complete:
+        return planCompletion(queued, now, dirty);
+    case ShardOperationKind::Release:
+        return planRelease(queued, now, dirty);
+    }
+    return Plan::Nothing;
+}
+
+ShardWriter::Plan ShardWriter::planClaim(Queued &queued, bool *dirty)
+{
+    const ShardOperation &claim = queued.operation;
+    const ClaimRecord *shown = m_view->shard.find(claim.key);
+    const ClaimRecord *planned = m_planned.find(claim.key);
+    queued.mayBeWritten = queued.mayBeWritten && !settled();
+    if (shown != nullptr && planned != nullptr && !shown->done() && shown->nonce == claim.nonce) {
+        finish(queued, ClaimDecision::Owned);
+        return Plan::Nothing;
+    }
+    if (planned != nullptr && !planned->done() && (shown == nullptr || shown->nonce != planned->nonce)) {
+        // Another claim of this key goes first; its write decides.
+        return Plan::Nothing;
+    }
+    if (planned != nullptr && !viewIsFresh(queued)) {
+        return Plan::Read;
+    }
+    if (planned != nullptr) {
+        finish(queued, planned->done() ? ClaimDecision::AlreadyRun : ClaimDecision::OutcomeUnknown, planned->status);
+        return Plan::Nothing;
+    }
+    if (claim.notAfter != StoreTime{} && m_view->time > claim.notAfter) {
+        finish(queued, ClaimDecision::Unavailable);
+        return Plan::Nothing;
+    }
+    if (!m_planned.add(claim.key, claim.nonce, claim.retentionSeconds)) {
+        // A fresh view may have a later time, at which more claims have ended.
+        if (!viewIsFresh(queued)) {
+            return Plan::Read;
+        }
+        finish(queued, ClaimDecision::Full);
+        return Plan::Nothing;
+    }
+    queued.inWrite = true;
+    *dirty = true;
+    return Plan::Write;
+}
+
+ShardWriter::Plan ShardWriter::planCompletion(Queued &queued, Instant now, bool *dirty)
+{
+    const ShardOperation &completion = queued.operation;
+    if (m_planned.complete(completion.key, completion.nonce, completion.status)) {
+        queued.inWrite = true;
+        *dirty = true;
+        return Plan::Write;
+    }
+    if (!viewIsFresh(queued)) {
+        // Not yet due: a write that goes out before may give a view that shows the claim.
+        return queued.dueAt <= now ? Plan::Read : Plan::Nothing;
+    }
+    // The claim was pruned or is done already. It must not be added again: the key may have a new owner.
+    finish(queued, ClaimDecision::Owned);
+    return Plan::Nothing;
+}
+
+ShardWriter::Plan ShardWriter::planRelease(Queued &queued, Instant now, bool *dirty)
+{
+    const ShardOperation &release = queued.operation;
+    const bool removed = m_planned.remove(release.key, release.nonce);
+    const bool fenced = release.fenceAfter == StoreTime{} || m_view->time > release.fenceAfter;
+    if (!removed && !fenced) {
+        if (queued.dueAt > now) {
+            return Plan::Nothing;
+        }
+        if (m_view->startedAt < queued.dueAt) {
+            return Plan::Read;
+        }
+        queued.dueAt = now + std::chrono::seconds(release.fenceAfter.seconds - m_view->time.seconds + 1);
+        return Plan::Nothing;
+    }
+    // A view without the claim may be stale, and an earlier write may still come. Only a write that succeeds excludes both,
+    // so the object is written even when nothing in it changes.
+    queued.inWrite = true;
+    *dirty = true;
+    return Plan::Write;
+}
+
+bool ShardWriter::viewIsFresh(const Queued &queued) const
+{
+    return m_view->startedAt >= queued.queuedAt;
+}
+
+bool ShardWriter::settled() const
+{
+    return !m_unsettled.has_value();
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/claims/writerhealth.cpp
@@ -0,0 +1,54 @@
+#include <filbertmount/claims/writerhealth.h>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+// Waiting four times the usual answer time keeps slow stores from turning every member into a competing writer.
+constexpr int TimeoutFactor = 4;
+constexpr int SmoothingSteps = 8;
+
+} // namespace
+
+WriterHealth::WriterHealth(const ClaimOptions &options)
+    : m_options(options)
+{
+}
+
+Duration WriterHealth::timeout(const InstanceId &writer) const
+{
+    const auto found = m_writers.find(writer);
+    const Duration usual = found == m_writers.end() ? Duration(0) : found->second.answerTime;
+    return std::clamp(usual * TimeoutFactor, m_options.forwardTimeout, m_options.forwardTimeoutLimit);
+}
+
+bool WriterHealth::usable(const InstanceId &writer, Instant now) const
+{
+    const auto found = m_writers.find(writer);
+    return found == m_writers.end() || found->second.passedOverUntil <= now;
+}
+
+void WriterHealth::answered(const InstanceId &writer, Duration answerTime)
+{
+    State &state = m_writers[writer];
+    state.answerTime += (answerTime - state.answerTime) / SmoothingSteps;
+}
+
+void WriterHealth::timedOut(const InstanceId &writer, Instant now)
+{
+    State &state = m_writers[writer];
+    state.passedOverUntil = now + m_options.passOver;
+    // Without this, a store that became slow for good would time out every forwarded claim.
+    state.answerTime = std::min(std::max(state.answerTime * 2, m_options.forwardTimeout), m_options.forwardTimeoutLimit);
+}
+
+void WriterHealth::keepOnly(const std::vector<InstanceId> &members)
+{
+    absl::erase_if(m_writers, [&](const auto &entry) {
+        return std::find(members.begin(), members.end(), entry.first) == members.end();
+    });
+}
+
+} // namespace Filbertmount
