Add thread-safe claim service

The proxy needs claims from many threads while store calls block. The service puts the coordinator under one lock, makes store calls on its own pool and runs handlers and sends without the lock. drain() lets a graceful shutdown wait for open releases.

--- a/include/filbertmount/claims/claimservice.h
+++ b/include/filbertmount/claims/claimservice.h
@@ -1,3 +1,257 @@
 #pragma once
 
+#include <filbertmount/claims/claimcoordinator.h>
 #include <filbertmount/claims/claimtypes.h>
+#include <filbertmount/peer/peersender.h>
+#include <filbertmount/store/objectstore.h>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <deque>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace Filbertmount {
+
+/**
+ * Claims idempotency keys in the store, so that a request that may not be repeated runs at most once. Thread-safe.
+ *
+ * @tparam Store is called from a pool of threads of this service; it must outlive the service.
+ */
+template<ObjectStore Store>
+class ClaimService
+{
+public:
+    /** Store calls under way at once; each takes a thread. */
+    static constexpr int DefaultStoreCalls = 8;
+
+    ClaimService(Store &store,
+                 const InstanceId &self,
+                 PeerSender sender,
+                 const ClaimOptions &options,
+                 int storeCalls = DefaultStoreCalls)
+        : m_store(store)
+        , m_sender(std::move(sender))
+        , m_coordinator(self, options)
+    {
+        for (int call = 0; call < storeCalls; ++call) {
+            m_threads.emplace_back([this] {
+                makeStoreCalls();
+            });
+        }
+        m_threads.emplace_back([this] {
+            keepTime();
+        });
+    }
+
+    /** Answers claims without a decision Unavailable. Call drain() first, or open releases are lost. */
+    ~ClaimService()
+    {
+        {
+            const absl::MutexLock lock(&m_mutex);
+            m_stopping = true;
+            m_changed.SignalAll();
+        }
+        for (std::thread &thread : m_threads) {
+            thread.join();
+        }
+        for (auto &[request, handler] : m_handlers) {
+            handler(ClaimAnswer{});
+        }
+    }
+
+    ClaimService(const ClaimService &) = delete;
+    ClaimService &operator=(const ClaimService &) = delete;
+
+    /** Claims @p idempotencyKey for one attempt. @p handler runs once, possibly before this returns. */
+    void claim(const ServiceName &service, const std::string &idempotencyKey, Duration retention, ClaimHandler handler)
+    {
+        const ClaimId id{.service = service, .key = claimKey(idempotencyKey), .nonce = randomClaimNonce()};
+        update([&](Instant now) {
+            const RequestId request(++m_lastRequest);
+            m_handlers.emplace(request, std::move(handler));
+            m_coordinator.claim(request, id, retention, now);
+        });
+    }
+
+    /** Records @p status of a whole answer, so that a resend is told that the request has run. */
+    void complete(const ClaimId &id, int status)
+    {
+        update([&](Instant now) {
+            m_coordinator.complete(id, status, now);
+        });
+    }
+
+    /** Gives an owned claim back. Only for a request that was not run and that this attempt will never send again. */
+    void release(const ClaimId &id)
+    {
+        update([&](Instant now) {
+            m_coordinator.release(id, now);
+        });
+    }
+
+    void receive(const InstanceId &from, const Wire::ClaimRequest &request)
+    {
+        update([&](Instant now) {
+            m_coordinator.receive(from, request, now);
+        });
+    }
+    void receive(const InstanceId &from, const Wire::ClaimReply &reply)
+    {
+        update([&](Instant now) {
+            m_coordinator.receive(from, reply, now);
+        });
+    }
+
+    /** Sets the live entry instances, this one included. */
+    void setMembers(std::vector<InstanceId> members)
+    {
+        update([&](Instant) {
+            m_coordinator.setMembers(std::move(members));
+        });
+    }
+
+    /** Waits up to @p longest until all releases and completions are in the store. Returns whether they are. */
+    bool drain(Duration longest)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const auto drained = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) {
+            return m_coordinator.openOperations() == 0;
+        };
+        return m_mutex.AwaitWithTimeout(absl::Condition(&drained), absl::FromChrono(longest));
+    }
+
+    [[nodiscard]] ClaimStatistics statistics() const
+    {
+        const absl::MutexLock lock(&m_mutex);
+        return m_coordinator.statistics();
+    }
+
+private:
+    struct Decision {
+        ClaimHandler handler;
+        ClaimAnswer answer;
+    };
+    /** Commands that are carried out without the lock. */
+    struct Outbox {
+        std::vector<ClaimMessage> messages;
+        std::vector<Decision> decisions;
+    };
+
+    template<class Change>
+    void update(Change change)
+    {
+        Outbox outbox;
+        {
+            const absl::MutexLock lock(&m_mutex);
+            change(ProcessClock::now());
+            collect(&outbox);
+        }
+        deliver(std::move(outbox));
+    }
+
+    void collect(Outbox *outbox) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    {
+        for (ClaimCommand &command : m_coordinator.takeCommands()) {
+            if (auto *call = std::get_if<ClaimStoreCall>(&command)) {
+                m_calls.push_back(std::move(*call));
+            } else if (auto *message = std::get_if<ClaimMessage>(&command)) {
+                outbox->messages.push_back(std::move(*message));
+            } else {
+                collectDecision(std::get<ClaimDecided>(command), outbox);
+            }
+        }
+        m_changed.SignalAll();
+    }
+
+    void collectDecision(const ClaimDecided &decided, Outbox *outbox) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    {
+        auto handler = m_handlers.extract(decided.request);
+        if (!handler.empty()) {
+            outbox->decisions.push_back({.handler = std::move(handler.mapped()), .answer = decided.answer});
+        }
+    }
+
+    void deliver(Outbox outbox)
+    {
+        for (ClaimMessage &message : outbox.messages) {
+            Wire::Envelope envelope;
+            *envelope.add_bodies() = std::move(message.body);
+            m_sender(message.to, std::move(envelope));
+        }
+        for (Decision &decision : outbox.decisions) {
+            decision.handler(decision.answer);
+        }
+    }
+
+    void makeStoreCalls()
+    {
+        while (true) {
+            ClaimStoreCall call;
+            {
+                const absl::MutexLock lock(&m_mutex);
+                const auto ready = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) {
+                    return m_stopping || !m_calls.empty();
+                };
+                m_mutex.Await(absl::Condition(&ready));
+                if (m_stopping) {
+                    return;
+                }
+                call = std::move(m_calls.front());
+                m_calls.pop_front();
+            }
+            const StoreReply reply = make(call);
+            update([&](Instant now) {
+                m_coordinator.finishStoreCall(call.number, reply, now);
+            });
+        }
+    }
+
+    StoreReply make(const ClaimStoreCall &call)
+    {
+        const auto *write = std::get_if<ShardWrite>(&call.call);
+        return write == nullptr ? m_store.read(call.object) : m_store.update(call.object, write->value, write->base);
+    }
+
+    void keepTime()
+    {
+        while (true) {
+            {
+                const absl::MutexLock lock(&m_mutex);
+                if (m_stopping) {
+                    return;
+                }
+                // An upper limit, so that caches are swept without work, too.
+                const Duration wait = std::min<Duration>(m_coordinator.wakeAt() - ProcessClock::now(), std::chrono::seconds(1));
+                if (wait > Duration(0)) {
+                    m_changed.WaitWithTimeout(&m_mutex, absl::FromChrono(wait));
+                }
+                if (m_stopping) {
+                    return;
+                }
+            }
+            update([&](Instant now) {
+                m_coordinator.tick(now);
+            });
+        }
+    }
+
+    Store &m_store;
+    PeerSender m_sender;
+    mutable absl::Mutex m_mutex;
+    absl::CondVar m_changed;
+    ClaimCoordinator m_coordinator ABSL_GUARDED_BY(m_mutex);
+    absl::flat_hash_map<RequestId, ClaimHandler> m_handlers ABSL_GUARDED_BY(m_mutex);
+    std::deque<ClaimStoreCall> m_calls ABSL_GUARDED_BY(m_mutex);
+    std::uint64_t m_lastRequest ABSL_GUARDED_BY(m_mutex) = 0;
+    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace Filbertmount
