Add the administration port and the conditional editor of documents

Cause: documents could not be edited, and an instance could not report. Ruled out: taking a lost answer for a failure. A retry with a new change would meet a conflict with itself; the editor reads back its change id, writes the same value on the same revision again, and finds a change that a later one followed in the history. Conclusion: an edit is accepted once, refused with the newer revision, or reported as unknown with its change id.

--- /dev/null
+++ b/include/filbertmount/admin/documenteditor.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <filbertmount/admin/documentedit.h>
+
+#include <utility>
+
+namespace Filbertmount {
+
+/**
+ * Applies edits to documents in the store by conditional updates. Thread-safe if the store is. Blocks for up to
+ * two store calls for each attempt.
+ */
+template<ObjectStore Store>
+class DocumentEditor
+{
+public:
+    /** Reads and writes after a lost answer before an edit is given up as Unknown. */
+    static constexpr int DefaultAttempts = 5;
+
+    explicit DocumentEditor(Store &store, int attempts = DefaultAttempts)
+        : m_store(&store)
+        , m_attempts(attempts)
+    {
+    }
+
+    EditReply apply(const DocumentEdit &edit)
+    {
+        const std::string key = documentKey(edit.service);
+        EditPlan plan = planEdit(edit, m_store->read(key));
+        if (plan.reply) {
+            return *std::move(plan.reply);
+        }
+        bool uncertain = false;
+        std::string reason;
+        for (int attempt = 0; attempt < m_attempts; ++attempt) {
+            const StoreReply written = m_store->update(key, plan.value, plan.expected);
+            if (written.outcome == StoreOutcome::Done) {
+                return {.outcome = EditOutcome::Accepted, .revision = written.object.revision, .value = plan.value};
+            }
+            if (written.outcome == StoreOutcome::Unavailable && !uncertain) {
+                return {.outcome = EditOutcome::Unavailable, .reason = written.reason};
+            }
+            reason = written.reason;
+            uncertain = uncertain || written.outcome == StoreOutcome::Unknown;
+            if (std::optional<EditReply> settled = settleEdit(edit, plan, m_store->read(key))) {
+                return *std::move(settled);
+            }
+            if (!uncertain) {
+                return {.outcome = EditOutcome::Conflict, .reason = reason};
+            }
+        }
+        return {.outcome = EditOutcome::Unknown, .reason = reason};
+    }
+
+private:
+    Store *m_store;
+    int m_attempts;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/admin/adminanswers.cpp
@@ -0,0 +1,109 @@
+#include "admin/adminanswers.h"
+
+#include <filbertmount/document/parseservicedocument.h>
+
+#include "admin/adminjson.h"
+#include "store/storeanswer.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace Filbertmount {
+
+namespace {
+
+constexpr int HttpForbidden = 403;
+constexpr int HttpNotFound = 404;
+constexpr int HttpPreconditionFailed = 412;
+constexpr int HttpUnprocessable = 422;
+constexpr int HttpBadGateway = 502;
+constexpr int HttpUnavailable = 503;
+constexpr int HttpGatewayTimeout = 504;
+
+int statusOf(EditOutcome outcome)
+{
+    switch (outcome) {
+    case EditOutcome::Accepted:
+        return 200;
+    case EditOutcome::Conflict:
+        return HttpPreconditionFailed;
+    case EditOutcome::Forbidden:
+        return HttpForbidden;
+    case EditOutcome::NotFound:
+        return HttpNotFound;
+    case EditOutcome::Damaged:
+        return HttpBadGateway;
+    case EditOutcome::Unavailable:
+        return HttpUnavailable;
+    case EditOutcome::Unknown:
+        return HttpGatewayTimeout;
+    }
+    return HttpBadGateway;
+}
+
+} // namespace
+
+ServerAnswer jsonAnswer(const nlohmann::json &json)
+{
+    return {.body = dumpJson(json) + "\n"};
+}
+
+ServerAnswer problemAnswer(int status, const std::string &detail, const nlohmann::json &more)
+{
+    nlohmann::json json{{"status", status}, {"detail", detail}};
+    json.update(more);
+    return {.status = status, .contentType = "application/problem+json", .body = dumpJson(json) + "\n"};
+}
+
+ServerAnswer editAnswer(const DocumentEdit &edit, const EditReply &reply)
+{
+    if (reply.outcome == EditOutcome::Accepted) {
+        ServerAnswer answer =
+            jsonAnswer({{"service", edit.service.value()}, {"revision", reply.revision.value()}, {"change_id", edit.changeId}});
+        answer.headers.emplace_back("ETag", etagOf(reply.revision));
+        return answer;
+    }
+    nlohmann::json more{{"service", edit.service.value()}};
+    if (reply.outcome == EditOutcome::Conflict) {
+        more.update({{"revision", reply.revision.value()}, {"author", reply.author}});
+    }
+    if (reply.outcome == EditOutcome::Unknown) {
+        more["change_id"] = edit.changeId;
+        return problemAnswer(statusOf(reply.outcome), "the change may have taken effect: " + reply.reason, more);
+    }
+    return problemAnswer(statusOf(reply.outcome), "the change had no effect: " + reply.reason, more);
+}
+
+std::optional<Revision> expectedRevision(const ServerRequest &request)
+{
+    const std::string match = request.header("if-match");
+    const std::string noneMatch = request.header("if-none-match");
+    if (match.empty() == noneMatch.empty()) {
+        return std::nullopt;
+    }
+    if (!noneMatch.empty()) {
+        return noneMatch == "*" ? std::optional(AbsentRevision) : std::nullopt;
+    }
+    return parseEtag(match);
+}
+
+std::optional<ServerAnswer> refuseDocument(const std::string &text, const std::string &fileName)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<std::optional<ServerAnswer>> {
+            BOOST_LEAF_CHECK(parseServiceDocument(text, fileName));
+            return std::optional<ServerAnswer>();
+        },
+        [](const Failure &failure, const ConfigIssues &issues) -> std::optional<ServerAnswer> {
+            return problemAnswer(HttpUnprocessable, failure.reason, {{"issues", toJson(issues)}});
+        },
+        []() -> std::optional<ServerAnswer> {
+            return problemAnswer(HttpUnprocessable, "the document cannot be parsed");
+        });
+}
+
+std::string etagOf(Revision revision)
+{
+    return "\"" + std::to_string(revision.value()) + "\"";
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/admin/adminhandler.cpp
@@ -0,0 +1,310 @@
+#include "admin/adminhandler.h"
+
+#include <filbertmount/document/documentvalue.h>
+#include <filbertmount/document/parseservicedocument.h>
+
+#include "admin/adminanswers.h"
+#include "admin/adminjson.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+constexpr int HttpUnauthorized = 401;
+constexpr int HttpForbidden = 403;
+constexpr int HttpNotFound = 404;
+constexpr int HttpMethodNotAllowed = 405;
+constexpr int HttpUnprocessable = 422;
+constexpr int HttpPreconditionRequired = 428;
+constexpr int HttpBadGateway = 502;
+constexpr int HttpUnavailable = 503;
+
+const std::string ServicesPath = "/v1/services";
+constexpr std::size_t MaxAuthorLength = 100;
+
+ServerAnswer methodNotAllowed(const std::string &allowed)
+{
+    ServerAnswer answer = problemAnswer(HttpMethodNotAllowed, "the method must be one of: " + allowed);
+    answer.headers.emplace_back("Allow", allowed);
+    return answer;
+}
+
+// A name for the history only; the token decides what may be changed.
+std::string authorOf(const ServerRequest &request, const TeamName &team)
+{
+    const std::string author = request.header("filbertmount-author").substr(0, MaxAuthorLength);
+    return author.empty() ? team.value() : author;
+}
+
+Result<ServiceDocument> parseNamed(const std::string &text, const ServiceName &service)
+{
+    return parseServiceDocument(text, service.value() + ".toml");
+}
+
+/** Returns why a valid document must not be stored under a name by a team. */
+std::string mismatch(const std::string &text, const ServiceName &service, const TeamName &team)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<std::string> {
+            BOOST_LEAF_AUTO(document, parseNamed(text, service));
+            if (document.service != service) {
+                return "the document is of service \"" + document.service.value() + "\"";
+            }
+            return document.team == team ? std::string() : "the document is of team \"" + document.team.value() + "\"";
+        },
+        []() {
+            return std::string("the document is not valid");
+        });
+}
+
+} // namespace
+
+AdminHandler::AdminHandler(std::vector<TeamSettings> teams, AdminSources sources)
+    : m_tokens(std::move(teams))
+    , m_sources(std::move(sources))
+{
+}
+
+void AdminHandler::setTeams(std::vector<TeamSettings> teams)
+{
+    m_tokens.setTeams(std::move(teams));
+}
+
+ServerAnswer AdminHandler::handle(const ServerRequest &request) const
+{
+    if (request.path == "/healthz") {
+        return jsonAnswer({{"instance", m_sources.instance.value()}});
+    }
+    if (request.path == "/readyz") {
+        return readiness();
+    }
+    if (request.path == "/metrics") {
+        return {.contentType = "text/plain; version=0.0.4", .body = m_sources.metrics()};
+    }
+    const std::optional<TeamName> team = m_tokens.teamOf(request.header("authorization"));
+    if (!team) {
+        ServerAnswer answer = problemAnswer(HttpUnauthorized, "expected \"Authorization: Bearer\" with the token of a team");
+        answer.headers.emplace_back("WWW-Authenticate", "Bearer");
+        return answer;
+    }
+    return handleTeamRequest(request, *team);
+}
+
+ServerAnswer AdminHandler::handleTeamRequest(const ServerRequest &request, const TeamName &team) const
+{
+    if (request.path == "/v1/validate") {
+        return request.method == "POST" ? validate(request) : methodNotAllowed("POST");
+    }
+    if (absl::StartsWith(request.path, ServicesPath + "/")) {
+        return handleService(request, team, request.path.substr(ServicesPath.size() + 1));
+    }
+    const bool list = request.path == ServicesPath;
+    if (!list && request.path != "/v1/timeline") {
+        return problemAnswer(HttpNotFound, "unknown path");
+    }
+    if (request.method != "GET") {
+        return methodNotAllowed("GET");
+    }
+    return list ? listServices() : timeline(request);
+}
+
+ServerAnswer AdminHandler::handleService(const ServerRequest &request, const TeamName &team, const std::string &rest) const
+{
+    const std::size_t slash = rest.find('/');
+    const ServiceName service(rest.substr(0, slash));
+    const std::string part = slash == std::string::npos ? std::string() : rest.substr(slash);
+    if (!isServiceName(service.value()) || (!part.empty() && part != "/history" && part != "/status")) {
+        return problemAnswer(HttpNotFound, "unknown path");
+    }
+    if (request.method == "GET") {
+        return part.empty() ? readDocument(service) : part == "/history" ? history(service) : status(service);
+    }
+    if (!part.empty() || (request.method != "PUT" && request.method != "DELETE")) {
+        return methodNotAllowed(part.empty() ? "GET, PUT, DELETE" : "GET");
+    }
+    return changeDocument(request, team, service);
+}
+
+ServerAnswer AdminHandler::readiness() const
+{
+    const ReadinessReport report = m_sources.readiness();
+    if (!report.ready) {
+        return problemAnswer(HttpUnavailable, report.reason);
+    }
+    return jsonAnswer({{"instance", m_sources.instance.value()}});
+}
+
+ServerAnswer AdminHandler::listServices() const
+{
+    nlohmann::json json{{"instance", m_sources.instance.value()}, {"services", nlohmann::json::array()}};
+    for (const DocumentReport &report : m_sources.documents()) {
+        json["services"].push_back(toJson(report));
+    }
+    return jsonAnswer(json);
+}
+
+ServerAnswer AdminHandler::timeline(const ServerRequest &request) const
+{
+    std::uint64_t after = 0;
+    const std::string text = request.parameter("after");
+    if (!text.empty() && !absl::SimpleAtoi(text, &after)) {
+        return problemAnswer(HttpUnprocessable, "after: expected a sequence number, found \"" + text + "\"");
+    }
+    const std::string service = request.parameter("service");
+    const std::string requestId = request.parameter("request");
+    nlohmann::json json{{"instance", m_sources.instance.value()}, {"events", nlohmann::json::array()}};
+    for (const Event &event : m_sources.events(after)) {
+        if ((service.empty() || event.service == service) && (requestId.empty() || event.request == requestId)) {
+            json["events"].push_back(toJson(event));
+        }
+    }
+    return jsonAnswer(json);
+}
+
+ServerAnswer AdminHandler::validate(const ServerRequest &request) const
+{
+    const std::string name = request.parameter("file");
+    if (std::optional<ServerAnswer> refusal = refuseDocument(request.body, name.empty() ? "document" : name)) {
+        return *std::move(refusal);
+    }
+    return jsonAnswer({{"valid", true}});
+}
+
+ServerAnswer AdminHandler::readDocument(const ServiceName &service) const
+{
+    if (!m_sources.readStored) {
+        return readCachedDocument(service, "there is no store");
+    }
+    const StoreReply reply = m_sources.readStored(service);
+    if (reply.outcome == StoreOutcome::Absent) {
+        return problemAnswer(HttpNotFound, "there is no document of service \"" + service.value() + "\"");
+    }
+    if (reply.outcome != StoreOutcome::Done) {
+        return readCachedDocument(service, reply.reason);
+    }
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<ServerAnswer> {
+            BOOST_LEAF_AUTO(value, decodeDocumentValue(reply.object.value, reply.object.key));
+            if (value.deleted) {
+                return problemAnswer(HttpNotFound, "the document was deleted by " + value.author);
+            }
+            ServerAnswer answer = jsonAnswer({{"service", service.value()},
+                                              {"revision", reply.object.revision.value()},
+                                              {"team", value.team.value()},
+                                              {"author", value.author},
+                                              {"document", value.document}});
+            answer.headers.emplace_back("ETag", etagOf(reply.object.revision));
+            answer.headers.emplace_back("Filbertmount-Source", "store");
+            return answer;
+        },
+        [](const Failure &failure) {
+            return problemAnswer(HttpBadGateway, describe(failure));
+        },
+        []() {
+            return problemAnswer(HttpBadGateway, "the store's value cannot be read");
+        });
+}
+
+ServerAnswer AdminHandler::readCachedDocument(const ServiceName &service, const std::string &reason) const
+{
+    const std::vector<DocumentReport> documents = m_sources.documents();
+    const auto found = std::find_if(documents.begin(), documents.end(), [&](const DocumentReport &report) {
+        return report.service == service;
+    });
+    if (found == documents.end()) {
+        return problemAnswer(HttpUnavailable, "no document is in force here, and the store gave none: " + reason);
+    }
+    nlohmann::json json = toJson(*found);
+    json["document"] = found->text;
+    ServerAnswer answer = jsonAnswer(json);
+    answer.headers.emplace_back("ETag", etagOf(found->revision));
+    answer.headers.emplace_back("Filbertmount-Source", "cache");
+    return answer;
+}
+
+ServerAnswer AdminHandler::history(const ServiceName &service) const
+{
+    if (!m_sources.readStored) {
+        return problemAnswer(HttpUnavailable, "there is no store");
+    }
+    const StoreReply reply = m_sources.readStored(service);
+    if (reply.outcome == StoreOutcome::Absent) {
+        return problemAnswer(HttpNotFound, "there is no document of service \"" + service.value() + "\"");
+    }
+    if (reply.outcome != StoreOutcome::Done) {
+        return problemAnswer(HttpUnavailable, reply.reason);
+    }
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<ServerAnswer> {
+            BOOST_LEAF_AUTO(value, decodeDocumentValue(reply.object.value, reply.object.key));
+            return jsonAnswer({{"service", service.value()}, {"changes", historyJson(value, reply.object.revision)}});
+        },
+        [](const Failure &failure) {
+            return problemAnswer(HttpBadGateway, describe(failure));
+        },
+        []() {
+            return problemAnswer(HttpBadGateway, "the store's value cannot be read");
+        });
+}
+
+ServerAnswer AdminHandler::status(const ServiceName &service) const
+{
+    nlohmann::json json{{"instance", m_sources.instance.value()}, {"members", nlohmann::json::array()}};
+    for (const MemberReport &member : m_sources.members()) {
+        json["members"].push_back(toJson(member));
+    }
+    const std::optional<ServiceReport> report = m_sources.service(service);
+    if (!report) {
+        return problemAnswer(HttpNotFound, "no document of service \"" + service.value() + "\" is in force here", json);
+    }
+    json.update(toJson(*report));
+    return jsonAnswer(json);
+}
+
+ServerAnswer AdminHandler::changeDocument(const ServerRequest &request, const TeamName &team, const ServiceName &service) const
+{
+    const std::optional<Revision> expected = expectedRevision(request);
+    const bool deleted = request.method == "DELETE";
+    if (!expected || (deleted && *expected == AbsentRevision)) {
+        return problemAnswer(HttpPreconditionRequired,
+                             "expected If-Match with the quoted revision that the change was made from, or If-None-Match: * "
+                             "for a new document");
+    }
+    if (!deleted) {
+        if (std::optional<ServerAnswer> refusal = refuseDocument(request.body, service.value() + ".toml")) {
+            return *std::move(refusal);
+        }
+        const std::string reason = mismatch(request.body, service, team);
+        if (!reason.empty()) {
+            return problemAnswer(
+                HttpForbidden, reason + ", expected service \"" + service.value() + "\" and your team \"" + team.value() + "\"");
+        }
+    }
+    return applyEdit({.service = service,
+                      .team = team,
+                      .author = authorOf(request, team),
+                      .deleted = deleted,
+                      .text = deleted ? std::string() : request.body,
+                      .expected = *expected,
+                      .changeId = randomChangeId()});
+}
+
+ServerAnswer AdminHandler::applyEdit(const DocumentEdit &edit) const
+{
+    if (!m_sources.edit) {
+        return problemAnswer(HttpUnavailable, "the change had no effect: there is no store");
+    }
+    const EditReply reply = m_sources.edit(edit);
+    if (reply.outcome == EditOutcome::Accepted && !reply.value.empty() && m_sources.accepted) {
+        m_sources.accepted(edit.service, reply.revision, reply.value);
+    }
+    return editAnswer(edit, reply);
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/tests/admin/fakestore.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <filbertmount/store/objectstore.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace Filbertmount {
+
+/** A store in memory whose next writes fail in a given way. */
+class FakeStore
+{
+public:
+    enum class WriteFault : std::uint8_t {
+        None,
+        /** Takes effect; the answer is lost. */
+        AnswerLost,
+        /** Has no effect; the answer is lost. */
+        RequestLost,
+        /** The answer is lost; takes effect just before the next write, if its condition still holds. */
+        Delayed,
+        Refused,
+    };
+
+    std::deque<WriteFault> writeFaults;
+    int failingReads = 0;
+    int writes = 0;
+    /** Runs once before the next write, such as a racing edit. */
+    std::function<void()> beforeWrite;
+
+    /** Runs once before the first read after the next write. */
+    void runBeforeReadBack(std::function<void()> function)
+    {
+        m_beforeReadBack = std::move(function);
+        m_written = false;
+    }
+
+    StoreReply read(const std::string &key)
+    {
+        if (m_written) {
+            runOnce(m_beforeReadBack);
+        }
+        if (failingReads > 0) {
+            --failingReads;
+            return {.outcome = StoreOutcome::Unavailable, .reason = "store-read: fake: down"};
+        }
+        const auto found = m_objects.find(key);
+        if (found == m_objects.end()) {
+            return {.outcome = StoreOutcome::Absent, .time = {100}};
+        }
+        return {.outcome = StoreOutcome::Done, .object = found->second, .time = {100}};
+    }
+
+    StoreReply update(const std::string &key, const std::string &value, Revision expected)
+    {
+        ++writes;
+        m_written = true;
+        runOnce(beforeWrite);
+        runOnce(m_delayed);
+        const WriteFault fault = writeFaults.empty() ? WriteFault::None : writeFaults.front();
+        if (!writeFaults.empty()) {
+            writeFaults.pop_front();
+        }
+        const StoreReply lost{.outcome = StoreOutcome::Unknown, .reason = "store-write: fake: lost"};
+        switch (fault) {
+        case WriteFault::Refused:
+            return {.outcome = StoreOutcome::Unavailable, .reason = "store-write: fake: refused"};
+        case WriteFault::RequestLost:
+            return lost;
+        case WriteFault::Delayed:
+            m_delayed = [this, key, value, expected]() {
+                write(key, value, expected);
+            };
+            return lost;
+        case WriteFault::AnswerLost:
+            write(key, value, expected);
+            return lost;
+        case WriteFault::None:
+            break;
+        }
+        return write(key, value, expected);
+    }
+
+    StoreListing list(const std::string & /*prefix*/)
+    {
+        return {};
+    }
+
+    StoreListing watch(const std::string & /*prefix*/, Revision /*after*/, Duration /*wait*/)
+    {
+        return {};
+    }
+
+    /** Writes as another instance would, without faults. */
+    StoreReply write(const std::string &key, const std::string &value, Revision expected)
+    {
+        const Revision current = m_objects[key].revision;
+        if (current != expected) {
+            return {.outcome = StoreOutcome::Conflict, .time = {100}, .reason = "store-write: fake: conflict"};
+        }
+        m_objects[key] = {.key = key, .value = value, .revision = Revision(++m_revision)};
+        return {.outcome = StoreOutcome::Done, .object = m_objects[key], .time = {100}};
+    }
+
+private:
+    static void runOnce(std::function<void()> &function)
+    {
+        const std::function<void()> once = std::move(function);
+        function = {};
+        if (once) {
+            once();
+        }
+    }
+
+    std::map<std::string, StoreObject> m_objects;
+    std::uint64_t m_revision = 0;
+    std::function<void()> m_delayed;
+    std::function<void()> m_beforeReadBack;
+    bool m_written = false;
+};
+
+} // namespace Filbertmount
