Add fault matrix with the claim protocol

The claim protocol must hold under every fault, two at once included. The matrix strikes one instance with each fault at each step of a claim, and with each pair of faults, over the real coordinator on a virtual clock. It checks that a key runs once within its retention, that a request told as not run did not run, that a refused key is free again, and that every attempt is answered.

Found by the first run: a moved coordinator left its parts with a reference to the options of the old object. It can no longer be copied or moved. Found by a breach test: looking for locked keys only at the end missed claims that had run out by then. The keys are now looked at before that, too.

--- a/include/filbertmount/claims/claimcoordinator.h
+++ b/include/filbertmount/claims/claimcoordinator.h
@@ -58,6 +58,9 @@
 {
 public:
     ClaimCoordinator(InstanceId self, const ClaimOptions &options);
+    // Members refer to the options of this object.
+    ClaimCoordinator(const ClaimCoordinator &) = delete;
+    ClaimCoordinator &operator=(const ClaimCoordinator &) = delete;
 
     /** Sets the live instances of which the preferred writers are chosen. */
     void setMembers(std::vector<InstanceId> members);
--- /dev/null
+++ b/tests/support/faults/claimworld.h
@@ -0,0 +1,627 @@
+#pragma once
+
+#include "faulttable.h"
+#include "faultystore.h"
+#include "simulation.h"
+
+#include <filbertmount/claims/claimcoordinator.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace Filbertmount::Testing {
+
+/** Rules that a test breaks on purpose, to prove that a check of the matrix can fail. */
+enum class Breach : std::uint8_t {
+    None,
+    /** The store ignores the condition of writes. */
+    UnconditionalStore,
+    /** A claim without proof is dispatched. */
+    DispatchUnproved,
+    /** The dispatch window is ignored. */
+    DispatchLate,
+    /** A request with a lost answer is reported as not run. */
+    HideLostAnswer,
+    /** The claim of a refused request is kept. */
+    KeepClaim,
+    /** A release ignores that the claim was forwarded to a silent writer. */
+    ForgetForward,
+    /** A broken request is released as if the upstream had refused it. */
+    ReleaseBroken,
+};
+
+/** What a caller is told of one attempt. */
+enum class Told : std::uint8_t {
+    Nothing,
+    NotRun,
+    MayHaveRun,
+    Ran,
+};
+
+/**
+ * Entry instances with the real claim coordinator and a minimal proxy, a store, an upstream with a log of what it ran, and
+ * callers that resend. One seed fixes the whole run.
+ */
+class ClaimWorld
+{
+public:
+    ClaimWorld(std::uint64_t seed, std::vector<Strike> strikes, Breach breach, bool tracing)
+        : m_simulation(seed, tracing)
+        , m_store(m_simulation)
+        , m_breach(breach)
+    {
+        m_store.unconditional = breach == Breach::UnconditionalStore;
+        for (const Strike &strike : strikes) {
+            m_strikes.push_back({.strike = strike, .countdown = 1 + m_simulation.below(4)});
+        }
+        for (std::size_t index = 0; index < Instances; ++index) {
+            m_ids.emplace_back("entry-" + std::to_string(index));
+        }
+        for (std::size_t index = 0; index < Instances; ++index) {
+            m_simulation.addProcess(m_ids[index].value());
+            ClaimOptions options;
+            options.seed = m_simulation.number();
+            m_nodes.push_back(std::make_unique<Node>(m_ids[index], options));
+            m_nodes.back()->coordinator.setMembers(m_ids);
+        }
+    }
+
+    CellResult run()
+    {
+        for (int key = 0; key < Keys; ++key) {
+            m_simulation.after(std::chrono::milliseconds(15 * key), [this, key] {
+                sendFirst(key);
+            });
+        }
+        // Looked at before the claims end, too: a claim that was left behind frees its key when its retention ends.
+        m_simulation.runUntil(Instant(FirstCheck));
+        checkKeysAreFree();
+        m_simulation.runUntil(Instant(FaultsEnd));
+        heal();
+        m_simulation.runUntil(Instant(Quiet));
+        checkKeysAreFree();
+        m_simulation.runUntil(Instant(End));
+        checkTold();
+        const bool covered = std::all_of(m_strikes.begin(), m_strikes.end(), [](const Armed &armed) {
+            return armed.strike.fault == Fault::None || armed.countdown == 0;
+        });
+        return {.covered = covered, .broken = m_broken, .trace = m_simulation.traceText()};
+    }
+
+private:
+    static constexpr std::size_t Instances = 4;
+    static constexpr int Keys = 32;
+    static constexpr int Attempts = 6;
+    static constexpr Duration Retention = std::chrono::seconds(60);
+    // Past the longest life of a claim: its retention, and up to a minute that its time is rounded up.
+    static constexpr Duration LongFreeze = std::chrono::seconds(200);
+    static constexpr Duration LateResend = std::chrono::seconds(170);
+    // All faults but the long freeze have ended, and the callers have given up.
+    static constexpr Duration FirstCheck = std::chrono::seconds(30);
+    static constexpr Duration FaultsEnd = std::chrono::seconds(240);
+    static constexpr Duration Quiet = std::chrono::seconds(260);
+    static constexpr Duration End = std::chrono::seconds(270);
+    static constexpr Duration AnswerTimeout = std::chrono::milliseconds(300);
+    static constexpr Duration CallerTimeout = std::chrono::milliseconds(1500);
+
+    struct Node {
+        Node(const InstanceId &id, const ClaimOptions &options)
+            : coordinator(id, options)
+        {
+        }
+        ClaimCoordinator coordinator;
+        Duration clockOffset{0};
+        bool cutIn = false;
+        bool cutOut = false;
+        bool duplicate = false;
+        Duration jitter{0};
+        Duration peerDelay{0};
+        Instant wakeScheduled = Instant::max();
+        std::set<std::uint64_t> writes;
+    };
+    struct Attempt {
+        int key = 0;
+        std::size_t instance = 0;
+        Told told = Told::Nothing;
+        ClaimId id;
+        bool dispatched = false;
+        bool refused = false;
+        bool ended = false;
+        /** Sent by the check at the end; its answer is looked at, nothing is dispatched. */
+        bool check = false;
+        Instant dispatchBefore;
+        Instant claimedAt;
+        Instant ranAt;
+    };
+    struct Armed {
+        Strike strike;
+        std::size_t countdown = 1;
+    };
+
+    /** Keys of two shards only, so that claims share writes and writers compete. */
+    static const std::string &keyName(int key)
+    {
+        static const std::vector<std::string> Names = [] {
+            std::vector<std::string> names;
+            for (int number = 0; names.size() <= Keys; ++number) {
+                const std::string name = "order-" + std::to_string(number);
+                if (claimShardNumber(claimKey(name)) < 2) {
+                    names.push_back(name);
+                }
+            }
+            return names;
+        }();
+        return Names.at(static_cast<std::size_t>(key));
+    }
+    Instant localNow(std::size_t instance) const
+    {
+        return m_simulation.now() + m_nodes[instance]->clockOffset;
+    }
+    void fail(const std::string &text)
+    {
+        m_simulation.trace("BROKEN: " + text);
+        if (m_broken.empty()) {
+            m_broken = text;
+        }
+    }
+
+    // Callers.
+
+    void sendFirst(int key)
+    {
+        send(key, 1);
+        // A caller that is impatient, or two browsers with one basket.
+        if (m_simulation.chance(0.25)) {
+            m_simulation.after(m_simulation.between(Duration(0), std::chrono::milliseconds(12)), [this, key] {
+                send(key, Attempts);
+            });
+        }
+        // A caller that resends long after, when the claim may just have ended.
+        m_simulation.after(LateResend, [this, key] {
+            send(key, Attempts);
+        });
+    }
+    std::optional<std::size_t> liveInstance(bool awake)
+    {
+        std::vector<std::size_t> live;
+        for (std::size_t index = 0; index < Instances; ++index) {
+            if (m_simulation.alive(index) && !(awake && m_simulation.frozen(index))) {
+                live.push_back(index);
+            }
+        }
+        if (live.empty()) {
+            return std::nullopt;
+        }
+        return live[m_simulation.below(live.size())];
+    }
+    void send(int key, int attemptNumber)
+    {
+        const std::optional<std::size_t> instance = liveInstance(false);
+        if (!instance) {
+            return;
+        }
+        const std::size_t number = start(key, *instance, false);
+        m_simulation.after(CallerTimeout, [this, number, key, attemptNumber] {
+            const Told told = m_attempts[number].told;
+            if (told != Told::Ran && attemptNumber < Attempts) {
+                m_simulation.after(m_simulation.between(Duration(0), std::chrono::milliseconds(800)), [this, key, attemptNumber] {
+                    send(key, attemptNumber + 1);
+                });
+            }
+        });
+    }
+    std::size_t start(int key, std::size_t instance, bool check)
+    {
+        const std::size_t number = m_attempts.size();
+        m_attempts.push_back({.key = key, .instance = instance, .check = check});
+        m_simulation.deliver(instance, std::chrono::microseconds(300), [this, number] {
+            claim(number);
+        });
+        return number;
+    }
+    void tell(std::size_t number, Told told)
+    {
+        Attempt &attempt = m_attempts[number];
+        attempt.ended = true;
+        static constexpr std::array<const char *, 4> Names = {"nothing", "not run", "may have run", "ran"};
+        attempt.told = told;
+        if (m_simulation.tracing()) {
+            trace(number, std::string("caller is told: ") + Names.at(static_cast<std::size_t>(told)));
+        }
+    }
+    void trace(std::size_t number, const std::string &text)
+    {
+        if (m_simulation.tracing()) {
+            const Attempt &attempt = m_attempts[number];
+            m_simulation.trace(attempt.instance, keyName(attempt.key) + " attempt " + std::to_string(number) + ": " + text);
+        }
+    }
+
+    // The proxy of one instance.
+
+    void claim(std::size_t number)
+    {
+        Attempt &attempt = m_attempts[number];
+        attempt.claimedAt = m_simulation.now();
+        ClaimNonce nonce{};
+        for (std::uint8_t &byte : nonce) {
+            byte = static_cast<std::uint8_t>(m_simulation.number());
+        }
+        attempt.id = {.service = ServiceName("shop"), .key = claimKey(keyName(attempt.key)), .nonce = nonce};
+        trace(number, "claims " + claimShardObject(attempt.id.service, attempt.id.key));
+        m_nodes[attempt.instance]->coordinator.claim(RequestId(number), attempt.id, Retention, localNow(attempt.instance));
+        flush(attempt.instance);
+        reached(ClaimStep::Queued, attempt.instance);
+    }
+    void decided(std::size_t number, ClaimAnswer answer)
+    {
+        Attempt &attempt = m_attempts[number];
+        static constexpr std::array<const char *, 5> Names = {"owned", "already run", "outcome unknown", "unavailable", "full"};
+        trace(number, std::string("claim is ") + Names.at(static_cast<std::size_t>(answer.decision)));
+        if (m_breach == Breach::DispatchUnproved && answer.decision == ClaimDecision::Unavailable) {
+            answer.decision = ClaimDecision::Owned;
+        }
+        if (attempt.check) {
+            checkDecision(number, answer);
+            return;
+        }
+        switch (answer.decision) {
+        case ClaimDecision::Owned:
+            attempt.id = answer.id;
+            attempt.dispatchBefore = answer.dispatchBefore;
+            reached(ClaimStep::Owned, attempt.instance);
+            m_simulation.deliver(attempt.instance, std::chrono::microseconds(50), [this, number] {
+                dispatch(number);
+            });
+            return;
+        case ClaimDecision::AlreadyRun:
+            if (m_runs[keyName(attempt.key)].empty()) {
+                fail(keyName(attempt.key) + " is reported as already run, but was never run");
+            }
+            tell(number, Told::Ran);
+            return;
+        case ClaimDecision::OutcomeUnknown:
+            tell(number, Told::MayHaveRun);
+            return;
+        case ClaimDecision::Unavailable:
+        case ClaimDecision::Full:
+            tell(number, Told::NotRun);
+            return;
+        }
+    }
+    void dispatch(std::size_t number)
+    {
+        Attempt &attempt = m_attempts[number];
+        if (localNow(attempt.instance) >= attempt.dispatchBefore && m_breach != Breach::DispatchLate) {
+            trace(number, "is too late to dispatch");
+            giveBack(number);
+            return;
+        }
+        attempt.dispatched = true;
+        trace(number, "is dispatched");
+        m_simulation.after(m_simulation.between(std::chrono::microseconds(500), std::chrono::milliseconds(10)), [this, number] {
+            arriveAtUpstream(number);
+        });
+        m_simulation.deliver(attempt.instance, AnswerTimeout, [this, number] {
+            answerMissing(number);
+        });
+        reached(ClaimStep::Dispatched, attempt.instance);
+    }
+    void answerMissing(std::size_t number)
+    {
+        if (m_attempts[number].ended) {
+            return;
+        }
+        if (m_breach == Breach::ReleaseBroken) {
+            giveBack(number);
+            return;
+        }
+        tell(number, m_breach == Breach::HideLostAnswer ? Told::NotRun : Told::MayHaveRun);
+    }
+    void giveBack(std::size_t number)
+    {
+        Attempt &attempt = m_attempts[number];
+        attempt.refused = true;
+        tell(number, Told::NotRun);
+        if (m_breach == Breach::KeepClaim) {
+            return;
+        }
+        if (m_breach == Breach::ForgetForward) {
+            attempt.id.forwardedUntil = {};
+        }
+        m_nodes[attempt.instance]->coordinator.release(attempt.id, localNow(attempt.instance));
+        flush(attempt.instance);
+        reached(ClaimStep::Released, attempt.instance);
+    }
+
+    // The upstream.
+
+    void arriveAtUpstream(std::size_t number)
+    {
+        Attempt &attempt = m_attempts[number];
+        const bool refuses = m_simulation.chance(0.3);
+        const bool answerLost = m_simulation.chance(0.08);
+        if (!refuses) {
+            run(number);
+        }
+        if (answerLost) {
+            trace(number, "answer of the upstream is lost");
+            return;
+        }
+        m_simulation.deliver(attempt.instance, std::chrono::milliseconds(1), [this, number, refuses] {
+            answered(number, refuses);
+        });
+    }
+    void run(std::size_t number)
+    {
+        std::vector<std::size_t> &runs = m_runs[keyName(m_attempts[number].key)];
+        m_attempts[number].ranAt = m_simulation.now();
+        trace(number, "RUNS at the upstream");
+        for (const std::size_t earlier : runs) {
+            // A key may run again only for an attempt that began after the retention of the run before.
+            if (m_attempts[number].claimedAt < m_attempts[earlier].ranAt + Retention) {
+                fail(keyName(m_attempts[number].key) + " ran twice: attempts " + std::to_string(earlier) + " and "
+                     + std::to_string(number));
+            }
+        }
+        runs.push_back(number);
+    }
+    void answered(std::size_t number, bool refused)
+    {
+        Attempt &attempt = m_attempts[number];
+        if (attempt.ended) {
+            return;
+        }
+        reached(ClaimStep::Answered, attempt.instance);
+        if (refused) {
+            giveBack(number);
+            return;
+        }
+        tell(number, Told::Ran);
+        m_nodes[attempt.instance]->coordinator.complete(attempt.id, 200, localNow(attempt.instance));
+        flush(attempt.instance);
+        reached(ClaimStep::Completed, attempt.instance);
+    }
+
+    // Ports of the coordinator.
+
+    void flush(std::size_t instance)
+    {
+        Node &node = *m_nodes[instance];
+        for (ClaimCommand &command : node.coordinator.takeCommands()) {
+            if (auto *call = std::get_if<ClaimStoreCall>(&command)) {
+                makeCall(instance, *call);
+            } else if (auto *message = std::get_if<ClaimMessage>(&command)) {
+                transmit(instance, *message);
+            } else {
+                const auto &decision = std::get<ClaimDecided>(command);
+                decided(decision.request.value(), decision.answer);
+            }
+        }
+        const Instant wake = node.coordinator.wakeAt();
+        if (wake == Instant::max()) {
+            return;
+        }
+        const Instant due = std::max(wake - node.clockOffset, m_simulation.now() + std::chrono::microseconds(100));
+        if (due >= node.wakeScheduled && node.wakeScheduled > m_simulation.now()) {
+            return;
+        }
+        node.wakeScheduled = due;
+        m_simulation.deliver(instance, due - m_simulation.now(), [this, instance] {
+            m_nodes[instance]->wakeScheduled = Instant::max();
+            m_nodes[instance]->coordinator.tick(localNow(instance));
+            flush(instance);
+        });
+    }
+    void makeCall(std::size_t instance, const ClaimStoreCall &call)
+    {
+        const bool write = std::holds_alternative<ShardWrite>(call.call);
+        if (m_simulation.tracing()) {
+            const std::string base = write ? " on revision " + std::to_string(std::get<ShardWrite>(call.call).base.value()) : "";
+            m_simulation.trace(instance, (write ? "writes " : "reads ") + call.object + base);
+        }
+        m_store.call(instance, call.object, call.call, [this, instance, number = call.number, write](const StoreReply &reply) {
+            m_nodes[instance]->coordinator.finishStoreCall(number, reply, localNow(instance));
+            flush(instance);
+            if (write && reply.outcome == StoreOutcome::Done) {
+                reached(ClaimStep::WriteAcknowledged, instance);
+            }
+        });
+        if (write) {
+            reached(ClaimStep::WriteSent, instance);
+        }
+    }
+    void transmit(std::size_t from, const ClaimMessage &message)
+    {
+        const auto to = static_cast<std::size_t>(std::find(m_ids.begin(), m_ids.end(), message.to) - m_ids.begin());
+        Node &sender = *m_nodes[from];
+        const bool request = message.body.has_claim_request();
+        if (m_simulation.tracing()) {
+            m_simulation.trace(from, std::string(request ? "forwards to " : "replies to ") + message.to.value());
+        }
+        const int copies = sender.duplicate ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            Duration delay = std::chrono::microseconds(500) + sender.peerDelay + m_simulation.between(Duration(0), sender.jitter);
+            if (copy > 0) {
+                delay += m_simulation.between(Duration(0), std::chrono::seconds(4));
+            }
+            // A message that was sent before the cut arrives all the same.
+            if (!sender.cutOut && !m_nodes[to]->cutIn) {
+                m_simulation.deliver(to, delay, [this, from, to, body = message.body] {
+                    arrive(from, to, body);
+                });
+            }
+        }
+        if (request && message.body.claim_request().kind() == Wire::ClaimRequest::CLAIM) {
+            reached(ClaimStep::Forwarded, from);
+        }
+    }
+    void arrive(std::size_t from, std::size_t to, const Wire::Body &body)
+    {
+        ClaimCoordinator &coordinator = m_nodes[to]->coordinator;
+        if (body.has_claim_request()) {
+            coordinator.receive(m_ids[from], body.claim_request(), localNow(to));
+        } else {
+            coordinator.receive(m_ids[from], body.claim_reply(), localNow(to));
+        }
+        flush(to);
+    }
+
+    // Faults.
+
+    void reached(ClaimStep step, std::size_t instance)
+    {
+        for (Armed &armed : m_strikes) {
+            if (armed.countdown == 0 || armed.strike.step != step || --armed.countdown > 0) {
+                continue;
+            }
+            strike(armed.strike.fault, instance);
+        }
+    }
+    void strike(Fault fault, std::size_t instance)
+    {
+        m_simulation.trace(instance, std::string("FAULT ") + FaultNames.at(static_cast<std::size_t>(fault)));
+        Node &node = *m_nodes[instance];
+        FaultyStore::Faults &store = m_store.faults(instance);
+        switch (fault) {
+        case Fault::None:
+            return;
+        case Fault::Kill:
+            m_simulation.kill(instance);
+            return;
+        case Fault::Freeze:
+            m_simulation.freeze(instance, m_simulation.between(std::chrono::milliseconds(20), std::chrono::seconds(6)));
+            return;
+        case Fault::FreezeLong:
+            m_simulation.freeze(instance, LongFreeze);
+            return;
+        case Fault::CutOut:
+            node.cutOut = true;
+            break;
+        case Fault::CutIn:
+            node.cutIn = true;
+            break;
+        case Fault::CutBoth:
+            node.cutOut = true;
+            node.cutIn = true;
+            break;
+        case Fault::CutStoreOut:
+            store.requestsLost = true;
+            break;
+        case Fault::CutStoreIn:
+            store.answersLost = true;
+            break;
+        case Fault::StoreDown:
+            m_store.down = true;
+            break;
+        case Fault::SlowStore:
+            store.extraDelay = m_simulation.between(std::chrono::milliseconds(20), std::chrono::milliseconds(400));
+            break;
+        case Fault::SlowPeers:
+            node.peerDelay = m_simulation.between(std::chrono::milliseconds(20), std::chrono::milliseconds(900));
+            break;
+        case Fault::AnswerLost:
+            store.loseAnswers = 3;
+            return;
+        case Fault::LateWrite:
+            store.delayEffects = 2;
+            return;
+        case Fault::StaleRead:
+            store.stale = true;
+            break;
+        case Fault::Duplicate:
+            node.duplicate = true;
+            break;
+        case Fault::Reorder:
+            node.jitter = std::chrono::milliseconds(200);
+            break;
+        case Fault::ClockStep:
+            node.clockOffset += m_simulation.between(std::chrono::milliseconds(100), std::chrono::seconds(4));
+            return;
+        }
+        m_simulation.after(m_simulation.between(std::chrono::milliseconds(100), std::chrono::seconds(4)), [this] {
+            heal();
+        });
+    }
+    void heal()
+    {
+        m_simulation.trace("faults end");
+        m_store.down = false;
+        for (std::size_t index = 0; index < Instances; ++index) {
+            Node &node = *m_nodes[index];
+            node.cutIn = node.cutOut = node.duplicate = false;
+            node.jitter = node.peerDelay = Duration(0);
+            m_store.faults(index) = {};
+        }
+    }
+
+    // Checks at the end.
+
+    bool mayStayLocked(const Attempt &attempt) const
+    {
+        // The request was sent and not refused, or the instance died or is still to wake.
+        return (attempt.dispatched && !attempt.refused) || !m_simulation.alive(attempt.instance)
+            || m_simulation.frozen(attempt.instance);
+    }
+    void checkKeysAreFree()
+    {
+        const std::optional<std::size_t> instance = liveInstance(true);
+        if (!instance) {
+            return;
+        }
+        std::set<int> locked;
+        for (const Attempt &attempt : m_attempts) {
+            if (mayStayLocked(attempt)) {
+                locked.insert(attempt.key);
+            }
+        }
+        for (int key = 0; key <= Keys; ++key) {
+            if (locked.count(key) == 0) {
+                start(key, *instance, true);
+            }
+        }
+    }
+    void checkDecision(std::size_t number, const ClaimAnswer &answer)
+    {
+        Attempt &attempt = m_attempts[number];
+        attempt.ended = true;
+        if (answer.decision != ClaimDecision::Owned) {
+            fail(keyName(attempt.key) + " is not free, although every attempt was refused as not run");
+        }
+    }
+    void checkTold()
+    {
+        for (std::size_t number = 0; number < m_attempts.size(); ++number) {
+            const Attempt &attempt = m_attempts[number];
+            const std::vector<std::size_t> &runs = m_runs[keyName(attempt.key)];
+            if (attempt.told == Told::NotRun && std::find(runs.begin(), runs.end(), number) != runs.end()) {
+                fail(keyName(attempt.key) + " attempt " + std::to_string(number) + " was reported as not run, but ran");
+            }
+            if (!attempt.ended && m_simulation.alive(attempt.instance)) {
+                fail(keyName(attempt.key) + " attempt " + std::to_string(number) + " never got an answer");
+            }
+        }
+    }
+
+    Simulation m_simulation;
+    FaultyStore m_store;
+    Breach m_breach;
+    std::vector<Armed> m_strikes;
+    std::vector<InstanceId> m_ids;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<Attempt> m_attempts;
+    /** Attempts that the upstream ran, by key. */
+    std::map<std::string, std::vector<std::size_t>> m_runs;
+    std::string m_broken;
+};
+
+/** Runs one cell and, when an invariant broke, once more with a trace. */
+inline CellResult runClaimCell(std::uint64_t seed, const std::vector<Strike> &strikes, Breach breach = Breach::None)
+{
+    const CellResult result = ClaimWorld(seed, strikes, breach, false).run();
+    return result.broken.empty() ? result : ClaimWorld(seed, strikes, breach, true).run();
+}
+
+} // namespace Filbertmount::Testing
--- /dev/null
+++ b/tests/support/faults/faultmatrix.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "claimworld.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace Filbertmount::Testing {
+
+/** One cell of the matrix: a fault, or a pair, at a step of a protocol. */
+struct Cell {
+    /** "claim/freeze@owned" or "claim/freeze@owned+late-write@write-sent". */
+    std::string name;
+    std::string row;
+    std::string column;
+    std::function<CellResult(std::uint64_t seed)> run;
+};
+
+inline Cell claimCell(const std::vector<Strike> &strikes)
+{
+    std::string name = "claim/";
+    for (const Strike &strike : strikes) {
+        name.append(name.back() == '/' ? "" : "+").append(FaultNames.at(static_cast<std::size_t>(strike.fault)));
+        name.append("@").append(ClaimStepNames.at(static_cast<std::size_t>(strike.step)));
+    }
+    const bool pair = strikes.size() > 1;
+    return {.name = name,
+            .row = FaultNames.at(static_cast<std::size_t>(strikes.front().fault)),
+            .column = pair ? "pairs" : ClaimStepNames.at(static_cast<std::size_t>(strikes.front().step)),
+            .run = [strikes](std::uint64_t seed) {
+                return runClaimCell(seed, strikes);
+            }};
+}
+
+/** Returns every fault at every step of a claim, and every pair of faults at steps that rotate with the pair. */
+inline std::vector<Cell> claimCells()
+{
+    std::vector<Cell> cells;
+    for (std::size_t fault = 0; fault < FaultNames.size(); ++fault) {
+        for (std::size_t step = 0; step < ClaimStepNames.size(); ++step) {
+            cells.push_back(claimCell({{.fault = static_cast<Fault>(fault), .step = static_cast<ClaimStep>(step)}}));
+        }
+    }
+    std::size_t turn = 0;
+    for (std::size_t first = 1; first < FaultNames.size(); ++first) {
+        for (std::size_t second = 1; second < FaultNames.size(); ++second, ++turn) {
+            const auto firstStep = static_cast<ClaimStep>(turn % ClaimStepNames.size());
+            const auto secondStep = static_cast<ClaimStep>((turn / ClaimStepNames.size() + second) % ClaimStepNames.size());
+            cells.push_back(claimCell({{.fault = static_cast<Fault>(first), .step = firstStep},
+                                       {.fault = static_cast<Fault>(second), .step = secondStep}}));
+        }
+    }
+    return cells;
+}
+
+} // namespace Filbertmount::Testing
