--- a/include/filbertmount/proxy/exchangeports.h
+++ b/include/filbertmount/proxy/exchangeports.h
@@ -23,7 +23,9 @@
 struct ExchangePorts {
     Router &router;
     UpstreamClient &client;
-    ClaimPort claims;
+    ClaimPort claims{};
+    /** Whether new requests may be served now; empty when they always may. */
+    std::function<bool()> admits{};
 };
 
 } // namespace Filbertmount
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -35,6 +35,8 @@
     std::size_t bodyOffset = 0;
     bool waitsForBody = false;
     bool waitsForCaller = false;
+    /** The answer was given up for a retry that is already counted. */
+    bool retryTaken = false;
     std::optional<Instant> sentAt;
     /** Status of the answer; 0 before its head. */
     int status = 0;
--- a/src/proxy/callerrequest.cpp
+++ b/src/proxy/callerrequest.cpp
@@ -63,7 +63,7 @@
     return std::nullopt;
 }
 
-Problem methodProblem(const RouteMatch &match)
+Problem methodProblem(const RouteChoice &match)
 {
     if (match.allowedMethods.empty()) {
         return {.status = 404, .detail = "the service has no route for this path"};
@@ -124,6 +124,12 @@
     if (std::optional<Problem> problem = framingProblem(head)) {
         return problem;
     }
+    if (ports.admits && !ports.admits()) {
+        return Problem{.status = 503,
+                       .detail = "the service documents are not known to be current",
+                       .retry = true,
+                       .retryAfter = std::chrono::seconds(1)};
+    }
     const std::shared_ptr<const DirectoryEntry> entry = directory.find(*findHeader(head.headers, "Host"));
     if (entry == nullptr) {
         return Problem{.status = 404, .detail = "no service has this host name"};
@@ -137,7 +143,7 @@
         return Problem{.status = 413,
                        .detail = "the body is over the limit of " + std::to_string(limits.maxBodyBytes) + " bytes"};
     }
-    const RouteMatch match = entry->routes.find(head.method, head.target);
+    const RouteChoice match = entry->routes.find(head.method, head.target);
     if (match.route == nullptr) {
         return methodProblem(match);
     }
--- a/src/proxy/exchangeattempts.cpp
+++ b/src/proxy/exchangeattempts.cpp
@@ -222,7 +222,8 @@
         attempt.refusedFor = retryAfterOf(head);
         return Intake::Stop;
     }
-    if (wantsRetryFor(head)) {
+    attempt.retryTaken = wantsRetryFor(head);
+    if (attempt.retryTaken) {
         return Intake::Stop;
     }
     m_winner = &attempt;
@@ -245,7 +246,7 @@
         return false;
     }
     m_retries.limitTo(retriesLeftOf(head.headers));
-    return m_retries.mayRetry(false) && m_body.replayable();
+    return m_attempts.size() == 1 && takeRetry(false);
 }
 
 Intake Exchange::attemptData(Attempt &attempt, std::string_view data)
@@ -318,7 +319,7 @@
     if (!m_attempts.empty() || m_waiting > 0) {
         return false; // Another attempt may still answer.
     }
-    if (takeRetry(attempt.notRun(end))) {
+    if (attempt.retryTaken || takeRetry(attempt.notRun(end))) {
         return true;
     }
     fail(*m_lastFailure);
@@ -327,7 +328,8 @@
 
 bool Exchange::takeRetry(bool notRun)
 {
-    const bool possible = m_retries.mayRetry(notRun) && m_body.replayable() && !tooLateToSend(ProcessClock::now());
+    const bool possible = m_retries.mayRetry(notRun) && m_body.replayable() && !tooLateToSend(ProcessClock::now())
+        && m_ports.router.takeRetry(m_document->service);
     if (possible) {
         m_retries.extraAttempt();
     }
