Add filbertmountctl and the pages on documents, settings and the API

Cause: operators had no tool for the administration API. Ruled out: fetching the revision just before an apply, because that hides every edit made since the operator read the document. "get" writes the revision above the document, "apply" sends it as the condition. A token on the command line was ruled out: other users can see it. Change: ControlCommands with exit codes for each outcome, reports that merge the members' answers, the program, and four pages. Conclusion: a lost response of an instance is exit code 7 and never "nothing was changed".

--- /dev/null
+++ b/src/admin/adminclient.cpp
@@ -0,0 +1,74 @@
+#include "admin/adminclient.h"
+
+#include <filbertmount/types/failure.h>
+
+namespace Filbertmount {
+
+namespace {
+
+constexpr int HttpOk = 200;
+
+std::string detailOf(const HttpAnswer &answer, const nlohmann::json &json)
+{
+    if (json.is_object() && json.contains("detail") && json["detail"].is_string()) {
+        return json["detail"].get<std::string>();
+    }
+    return "unexpected response with status " + std::to_string(answer.status);
+}
+
+} // namespace
+
+AdminClient::AdminClient(AdminClientOptions options)
+    : m_options(std::move(options))
+{
+}
+
+AdminReply AdminClient::get(const std::string &path)
+{
+    return getFrom(m_options.address, path);
+}
+
+AdminReply AdminClient::getFrom(const std::string &address, const std::string &path)
+{
+    return perform(address, {.method = "GET", .url = path});
+}
+
+AdminReply
+AdminClient::send(const std::string &method, const std::string &path, const std::string &body, const std::string &condition)
+{
+    HttpCall call{.method = method, .url = path, .body = body};
+    if (!condition.empty()) {
+        call.headers.push_back(condition);
+    }
+    return perform(m_options.address, std::move(call));
+}
+
+const std::string &AdminClient::address() const
+{
+    return m_options.address;
+}
+
+AdminReply AdminClient::perform(const std::string &address, HttpCall call)
+{
+    call.url = "http://" + address + call.url;
+    call.timeout = m_options.timeout;
+    call.headers.push_back("Authorization: Bearer " + m_options.token);
+    const HttpAnswer answer = m_client.perform(call);
+    Failure failure{.step = Step::Administration, .peer = address, .reason = answer.reason};
+    if (answer.end != HttpAnswer::End::Answered) {
+        failure.step = answer.end == HttpAnswer::End::NotSent ? Step::Connect : Step::ReadAnswer;
+        return {.sent = answer.end == HttpAnswer::End::Lost, .error = describe(failure)};
+    }
+    AdminReply reply{.status = answer.status, .sent = true, .source = answer.source};
+    reply.json = nlohmann::json::parse(answer.body, nullptr, false);
+    if (answer.status == HttpOk && reply.json.is_object()) {
+        return reply;
+    }
+    failure.reason = detailOf(answer, reply.json);
+    reply.error = describe(failure);
+    // A body that is no JSON object is an error, whatever the status.
+    reply.status = answer.status == HttpOk ? 0 : answer.status;
+    return reply;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/tests/admin/controlcommandstest.cpp
@@ -0,0 +1,269 @@
+#include "admin/controlcommands.h"
+#include "admin/documentfile.h"
+#include "support/adminentry.h"
+#include "support/platform.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include <unistd.h>
+
+using namespace Filbertmount;
+
+namespace {
+
+const std::string Document = "service = \"shopfront\"\nteam = \"riga-shop\"\n[upstreams]\nlist = \"shopfront\"\n";
+
+/** A file that is removed at the end of the test. */
+class TemporaryFile
+{
+public:
+    explicit TemporaryFile(const std::string &content)
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "filbertmount-XXXXXX").string();
+        const int descriptor = mkstemp(pattern.data());
+        REQUIRE(descriptor >= 0);
+        close(descriptor);
+        m_name = pattern;
+        write(content);
+    }
+    ~TemporaryFile()
+    {
+        std::filesystem::remove(m_name);
+    }
+    TemporaryFile(const TemporaryFile &) = delete;
+    TemporaryFile &operator=(const TemporaryFile &) = delete;
+
+    void write(const std::string &content)
+    {
+        std::ofstream(m_name) << content;
+    }
+
+    [[nodiscard]] const std::string &name() const
+    {
+        return m_name;
+    }
+
+private:
+    std::string m_name;
+};
+
+/** Runs commands against one instance and keeps what they write. */
+class Operator
+{
+public:
+    explicit Operator(const std::string &address, bool json = false, const std::string &token = AdminEntry::ShopToken)
+        : m_client({.address = address, .token = token, .timeout = std::chrono::seconds(20)})
+        , m_commands(m_client, {.out = &m_out, .err = &m_err, .json = json})
+    {
+    }
+
+    ControlCommands &commands()
+    {
+        return m_commands;
+    }
+
+    std::string takeOut()
+    {
+        return std::exchange(m_out, std::ostringstream()).str();
+    }
+
+    std::string takeErr()
+    {
+        return std::exchange(m_err, std::ostringstream()).str();
+    }
+
+private:
+    std::ostringstream m_out;
+    std::ostringstream m_err;
+    AdminClient m_client;
+    ControlCommands m_commands;
+};
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against an operator overwriting a change that was made after the document was read.
+TEST_CASE("an operator gets, changes and applies a document, and is told of a conflict")
+{
+    RunningPlatform platform;
+    AdminEntry entry(platform->address());
+    Operator first(entry.address());
+    TemporaryFile file(Document);
+    REQUIRE(first.commands().apply(file.name(), std::nullopt) == ExitCode::Done);
+    CHECK(first.takeOut() == "shopfront: accepted as revision 1\n");
+    CHECK(first.commands().apply(file.name(), std::nullopt) == ExitCode::Conflict);
+    first.takeErr();
+
+    REQUIRE(first.commands().get("shopfront") == ExitCode::Done);
+    const std::string read = first.takeOut();
+    CHECK(read == "# filbertmount-revision: 1\n" + Document);
+    file.write(read + "slots = 3\n");
+    CHECK(first.commands().apply(file.name(), std::nullopt) == ExitCode::Done);
+    // The second operator read the same revision.
+    TemporaryFile stale(read + "slots = 4\n");
+    Operator second(entry.address());
+    CHECK(second.commands().apply(stale.name(), std::nullopt) == ExitCode::Conflict);
+    CHECK(contains(second.takeErr(), "made from revision 1, the store has revision 2 by riga-shop. Nothing was changed."));
+    CHECK(second.commands().apply(stale.name(), Revision(2)) == ExitCode::Done);
+    second.takeOut();
+    CHECK(second.commands().history("shopfront") == ExitCode::Done);
+    CHECK(contains(second.takeOut(), "3         2"));
+    CHECK(second.commands().remove("shopfront", Revision(2)) == ExitCode::Conflict);
+    CHECK(second.commands().remove("shopfront", Revision(3)) == ExitCode::Done);
+    CHECK(second.commands().get("shopfront") == ExitCode::NotFound);
+}
+
+TEST_CASE("failures have exit codes of their own and name step and peer")
+{
+    RunningPlatform platform;
+    AdminEntry entry(platform->address());
+    Operator shop(entry.address());
+    TemporaryFile broken(Document + "slots = 0\n");
+    CHECK(shop.commands().apply(broken.name(), std::nullopt) == ExitCode::InvalidDocument);
+    CHECK(contains(shop.takeErr(), broken.name() + ":5: upstreams.slots: expected an integer"));
+    CHECK(shop.commands().apply("/nonexistent.toml", std::nullopt) == ExitCode::Usage);
+    CHECK(shop.takeErr() == "read-document: /nonexistent.toml: the file cannot be read\n");
+
+    TemporaryFile file(Document);
+    Operator foreign(entry.address(), false, AdminEntry::KayaToken);
+    CHECK(foreign.commands().apply(file.name(), std::nullopt) == ExitCode::Forbidden);
+    CHECK(contains(foreign.takeErr(), "administration: " + entry.address() + ": the document is of team"));
+    CHECK(Operator(entry.address(), false, "wrong").commands().list() == ExitCode::Forbidden);
+
+    platform->faults().set({.down = true});
+    CHECK(shop.commands().apply(file.name(), std::nullopt) == ExitCode::Unavailable);
+    CHECK(contains(shop.takeErr(), "had no effect: store-read: " + platform->address()));
+    platform->faults().set({.loseAnswers = 1, .dropCalls = 0});
+    CHECK(shop.commands().apply(file.name(), std::nullopt) == ExitCode::Done);
+
+    entry.port().stop();
+    Operator gone(entry.address());
+    CHECK(gone.commands().apply(file.name(), std::nullopt) == ExitCode::Unavailable);
+    CHECK(contains(gone.takeErr(), "connect: " + entry.address()));
+}
+
+// Guards against "no effect" being reported when the instance died after it had the request.
+TEST_CASE("a change whose response is lost has an unknown outcome")
+{
+    BlockingServer server({}, [](const ServerRequest & /*request*/) {
+        return ServerAnswer{.drop = true};
+    });
+    requireDone([&]() {
+        return server.start();
+    });
+    Operator person("127.0.0.1:" + std::to_string(server.port()));
+    TemporaryFile file(Document);
+    CHECK(person.commands().apply(file.name(), std::nullopt) == ExitCode::OutcomeUnknown);
+    CHECK(contains(person.takeErr(), "The change may have taken effect."));
+    CHECK(person.commands().list() == ExitCode::Unavailable);
+}
+
+TEST_CASE("an instance that answers with something else is an error")
+{
+    std::string body = "[]";
+    BlockingServer server({}, [&](const ServerRequest & /*request*/) {
+        return ServerAnswer{.body = body};
+    });
+    requireDone([&]() {
+        return server.start();
+    });
+    const std::string address = "127.0.0.1:" + std::to_string(server.port());
+    Operator person(address);
+    CHECK(person.commands().list() == ExitCode::Unavailable);
+    CHECK(contains(person.takeErr(), "administration: " + address + ": unexpected response"));
+    body = R"({"services":[{}],"instance":"a","members":[]})";
+    CHECK(person.commands().list() == ExitCode::Unavailable);
+    CHECK(contains(person.takeErr(), "administration: " + address + ": malformed response"));
+    CHECK(person.commands().timeline("", "") == ExitCode::Partial);
+    CHECK(person.commands().status("shopfront") == ExitCode::Done);
+    CHECK(contains(person.takeOut(), "malformed status"));
+}
+
+TEST_CASE("status and timeline ask all members and say which did not answer")
+{
+    AdminEntry first("", "entry-1");
+    AdminEntry second("", "entry-2");
+    AdminEntry third("", "entry-3");
+    const std::string goneAddress = third.address();
+    third.port().stop();
+    for (AdminEntry *entry : {&first, &second}) {
+        entry->service.service = ServiceName("shopfront");
+        entry->service.limits = {{"queue-full", 3}, {"unused", 0}};
+        entry->service.measuring = {.budgetPercent = 2, .allowedMs = 10, .spentMs = 2.5, .probes = 1};
+        entry->service.upstreams = {{.id = "u1", .address = "10.0.0.1:80", .state = "live"}};
+    }
+    first.service.revision = Revision(7);
+    second.service.revision = Revision(6);
+    second.service.upstreams[0].state = "draining";
+    second.service.remarks = {"more members than the limit"};
+    first.members = {{InstanceId("entry-1"), first.address(), "riga-1", "riga", "alive"},
+                     {InstanceId("entry-2"), second.address(), "riga-2", "riga", "alive"},
+                     {InstanceId("entry-3"), goneAddress, "riga-3", "riga", "suspect"}};
+    first.events = {{.wallTimeUs = 2'000'000, .sequence = 1, .instance = "entry-1", .kind = "second.event"}};
+    second.events = {{.wallTimeUs = 1'000'000, .sequence = 1, .instance = "entry-2", .kind = "first.event"},
+                     {.wallTimeUs = 3'000'000, .sequence = 2, .instance = "entry-2", .kind = "third.event"}};
+
+    Operator person(first.address());
+    CHECK(person.commands().status("shopfront") == ExitCode::Partial);
+    const std::string status = person.takeOut();
+    CAPTURE(status);
+    CHECK(contains(status, "entry-1"));
+    CHECK(contains(status, "live=1"));
+    CHECK(contains(status, "queue-full=3"));
+    CHECK(contains(status, "2.5/10.0"));
+    CHECK(contains(status, "no status: connect: " + goneAddress));
+    CHECK(contains(status, "2 different revisions"));
+    CHECK(contains(status, "u1 10.0.0.1:80  draining at 1, live at 1"));
+    CHECK(contains(status, "remark of entry-2: more members than the limit"));
+    CHECK(person.commands().status("unknown") == ExitCode::NotFound);
+    person.takeOut();
+
+    CHECK(person.commands().timeline("", "") == ExitCode::Partial);
+    const std::string line = person.takeOut();
+    CHECK(line.find("first.event") < line.find("second.event"));
+    CHECK(line.find("second.event") < line.find("third.event"));
+    CHECK(contains(line, "1970-01-01T00:00:01.000000Z"));
+
+    Operator machine(first.address(), true);
+    CHECK(machine.commands().status("shopfront") == ExitCode::Partial);
+    const nlohmann::json members = nlohmann::json::parse(machine.takeOut()).at("members");
+    REQUIRE(members.size() == 3);
+    CHECK(members[1].at("status").at("revision") == 6);
+    CHECK(members[2].contains("error"));
+}
+
+TEST_CASE("documents are validated without an instance")
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    TemporaryFile valid("# filbertmount-revision: 3\n" + Document);
+    CHECK(validateFile(valid.name(), {.out = &out, .err = &err}) == ExitCode::Done);
+    CHECK(contains(out.str(), "valid document of service shopfront"));
+    TemporaryFile invalid("# filbertmount-revision: 3\n" + Document + "slots = 0\n");
+    CHECK(validateFile(invalid.name(), {.out = &out, .err = &err}) == ExitCode::InvalidDocument);
+    CHECK(contains(err.str(), invalid.name() + ":6: upstreams.slots"));
+    CHECK(validateFile(invalid.name(), {.out = &out, .err = &err, .json = true}) == ExitCode::InvalidDocument);
+    CHECK(contains(out.str(), "\"key\":\"upstreams.slots\""));
+}
+
+TEST_CASE("the revision line of a document file")
+{
+    CHECK(splitDocumentFile(joinDocumentFile("a = 1\n", Revision(12))).revision == Revision(12));
+    CHECK(splitDocumentFile(joinDocumentFile("a = 1\n", Revision(12))).text == "a = 1\n");
+    for (const char *text :
+         {"", "a = 1", "# filbertmount-revision: x\na", "# filbertmount-revision: 0\na", "# filbertmount-revision: 7"}) {
+        CAPTURE(text);
+        CHECK_FALSE(splitDocumentFile(text).revision.has_value());
+        CHECK(splitDocumentFile(text).text == text);
+    }
+}
