Add notices about leaving upstreams

An upstream that leaves must stop receiving requests on all instances soon after one of them notices, while a faulty peer or a wrong instance list must not empty a service.

Own observation always applies. Peers' notices apply in order of arrival while half of the listed upstreams stay usable; beyond that an own probe decides. A list that ends more than half of a service within 10 s applies only to upstreams that also fail, until it has repeated the state for 10 s; counting ends over the window also covers a list that is wrong in small steps. Draining persists until a new incarnation, except that a live probe 10 s after a peer's notice overrules the peer, because load endpoints lag by seconds, not tens of seconds.

--- /dev/null
+++ b/src/notices/noticeboard.cpp
@@ -0,0 +1,150 @@
+#include <filbertmount/notices/noticeboard.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Filbertmount {
+
+namespace {
+
+UpstreamCondition conditionFromWire(Wire::UpstreamNotice::State state)
+{
+    switch (state) {
+    case Wire::UpstreamNotice::DRAINING:
+        return UpstreamCondition::Draining;
+    case Wire::UpstreamNotice::DOWN:
+        return UpstreamCondition::Down;
+    default:
+        return UpstreamCondition::Live;
+    }
+}
+
+} // namespace
+
+NoticeBoard::NoticeBoard(Options options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+}
+
+void NoticeBoard::setRegionMembers(std::vector<InstanceId> members)
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_members = std::move(members);
+}
+
+void NoticeBoard::takeListing(const ServiceName &service, const std::vector<ListedInstance> &rows, Instant now)
+{
+    const absl::MutexLock lock(&m_mutex);
+    Service &entry = m_services[service];
+    entry.notices.takeListing(rows, now);
+    entry.changed = true;
+}
+
+void NoticeBoard::forget(const ServiceName &service)
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_services.erase(service);
+}
+
+PeerOutbox NoticeBoard::observe(const ServiceName &service, const UpstreamId &upstream, UpstreamSign sign, Instant now)
+{
+    const absl::MutexLock lock(&m_mutex);
+    PeerOutbox outbox;
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return outbox;
+    }
+    Service &entry = found->second;
+    const auto announced = entry.notices.observe(upstream, sign, now);
+    entry.changed = entry.changed || announced || sign == UpstreamSign::ProbeLive;
+    if (!announced) {
+        return outbox;
+    }
+    Wire::UpstreamNotice notice;
+    notice.set_service(service.value());
+    notice.set_upstream(upstream.value());
+    notice.set_incarnation(entry.notices.incarnation(upstream).value());
+    notice.set_state(static_cast<Wire::UpstreamNotice::State>(*announced));
+    notice.set_sequence(++m_sequence);
+    notice.set_origin(m_options.self.value());
+    notice.set_remaining_hops(1);
+    for (const InstanceId &member : m_members) {
+        *appendBody(outbox, member).mutable_upstream_notice() = notice;
+    }
+    return outbox;
+}
+
+PeerOutbox NoticeBoard::receive(const Wire::Body &body, Instant now)
+{
+    PeerOutbox outbox;
+    if (!body.has_upstream_notice() || body.upstream_notice().origin() == m_options.self.value()) {
+        return outbox;
+    }
+    const Wire::UpstreamNotice &notice = body.upstream_notice();
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_services.find(ServiceName(notice.service()));
+    if (found == m_services.end()) {
+        return outbox;
+    }
+    const PeerNotice peerNotice{.origin = InstanceId(notice.origin()),
+                                .upstream = UpstreamId(notice.upstream()),
+                                .incarnation = Incarnation(notice.incarnation()),
+                                .sequence = notice.sequence(),
+                                .state = conditionFromWire(notice.state())};
+    if (!found->second.notices.takePeer(peerNotice, now)) {
+        return outbox;
+    }
+    found->second.changed = true;
+    if (notice.remaining_hops() == 0) {
+        return outbox;
+    }
+    std::vector<InstanceId> chosen;
+    std::sample(m_members.begin(), m_members.end(), std::back_inserter(chosen), m_options.fanout, m_random);
+    for (const InstanceId &member : chosen) {
+        Wire::UpstreamNotice &passed = *appendBody(outbox, member).mutable_upstream_notice();
+        passed = notice;
+        // The number comes from the peer: a faulty one must not start a chain.
+        passed.set_remaining_hops(0);
+    }
+    return outbox;
+}
+
+std::vector<UpstreamStatus> NoticeBoard::states(const ServiceName &service, Instant now) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? std::vector<UpstreamStatus>{} : found->second.notices.states(now);
+}
+
+std::vector<NoticeBoard::Confirmation> NoticeBoard::confirmations(Instant now) const
+{
+    const absl::MutexLock lock(&m_mutex);
+    std::vector<Confirmation> result;
+    for (const auto &[service, entry] : m_services) {
+        for (const UpstreamStatus &status : entry.notices.states(now)) {
+            if (status.confirmationWanted) {
+                result.push_back({.service = service, .upstream = status.id});
+            }
+        }
+    }
+    return result;
+}
+
+std::vector<ServiceName> NoticeBoard::takeChanges(Instant now)
+{
+    const absl::MutexLock lock(&m_mutex);
+    std::vector<ServiceName> changed;
+    for (auto &[service, entry] : m_services) {
+        if (!entry.changed && now < entry.recheckAt) {
+            continue;
+        }
+        entry.changed = false;
+        entry.recheckAt = entry.notices.nextChange(now);
+        changed.push_back(service);
+    }
+    return changed;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/tests/notices/noticeboardtest.cpp
@@ -0,0 +1,233 @@
+#include <filbertmount/notices/noticeboard.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace Filbertmount;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+std::vector<ListedInstance> rows(int count, std::uint64_t incarnation = 1)
+{
+    std::vector<ListedInstance> result;
+    for (int index = 0; index < count; ++index) {
+        result.push_back({.id = "u" + std::to_string(index), .address = "", .zone = {}, .incarnation = Incarnation(incarnation)});
+    }
+    return result;
+}
+
+UpstreamId upstream(int index)
+{
+    return UpstreamId("u" + std::to_string(index));
+}
+
+PeerNotice notice(int index, UpstreamCondition state, std::uint64_t sequence, const std::string &origin = "peer")
+{
+    return {.origin = InstanceId(origin),
+            .upstream = upstream(index),
+            .incarnation = Incarnation(1),
+            .sequence = sequence,
+            .state = state};
+}
+
+int usable(const ServiceNotices &notices, Instant now)
+{
+    const auto states = notices.states(now);
+    return static_cast<int>(std::count_if(states.begin(), states.end(), [](const UpstreamStatus &status) {
+        return status.condition == UpstreamCondition::Live;
+    }));
+}
+
+UpstreamStatus status(const ServiceNotices &notices, int index, Instant now)
+{
+    for (UpstreamStatus &state : notices.states(now)) {
+        if (state.id == upstream(index)) {
+            return state;
+        }
+    }
+    return {};
+}
+
+const Instant Start = Instant{} + seconds(1000);
+
+} // namespace
+
+// Guards against a confused peer, or several, that empty a service by declaring everything draining or down.
+TEST_CASE("peers alone never leave less than half of a service usable")
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        const int size = 1 + static_cast<int>(random() % 12);
+        ServiceNotices notices;
+        notices.takeListing(rows(size), Start);
+        Instant now = Start;
+        for (std::uint64_t step = 1; step <= 100; ++step) {
+            now += milliseconds(random() % 300);
+            const auto state = random() % 2 == 0 ? UpstreamCondition::Draining : UpstreamCondition::Down;
+            const std::string origin = "peer-" + std::to_string(random() % 3);
+            notices.takePeer(notice(static_cast<int>(random() % static_cast<std::uint64_t>(size)), state, step, origin), now);
+            REQUIRE(usable(notices, now) * 2 >= size);
+        }
+    }
+}
+
+// Guards against a real drain beyond half of the service that is never believed.
+TEST_CASE("a notice beyond the guard asks for a probe, and the probe decides")
+{
+    ServiceNotices notices;
+    notices.takeListing(rows(2), Start);
+    notices.takePeer(notice(0, UpstreamCondition::Draining, 1), Start);
+    notices.takePeer(notice(1, UpstreamCondition::Draining, 2), Start + milliseconds(1));
+    const Instant now = Start + milliseconds(2);
+    CHECK(status(notices, 0, now).condition == UpstreamCondition::Draining);
+    CHECK(status(notices, 1, now).condition == UpstreamCondition::Live);
+    CHECK(status(notices, 1, now).confirmationWanted);
+    SUBCASE("confirmed")
+    {
+        CHECK(notices.observe(upstream(1), UpstreamSign::Draining, now) == UpstreamCondition::Draining);
+        // With u1 confirmed, u0 is the last one and rests on a peer's word alone, so it needs its own probe.
+        CHECK(status(notices, 0, now).condition == UpstreamCondition::Live);
+        CHECK(status(notices, 0, now).confirmationWanted);
+        notices.observe(upstream(0), UpstreamSign::Draining, now);
+        CHECK(usable(notices, now) == 0);
+    }
+    SUBCASE("denied")
+    {
+        notices.observe(upstream(1), UpstreamSign::ProbeLive, now);
+        CHECK(status(notices, 1, now).condition == UpstreamCondition::Live);
+        CHECK_FALSE(status(notices, 1, now).confirmationWanted);
+        CHECK(status(notices, 1, now + seconds(2)).confirmationWanted);
+        // A live answer long after the notice shows that the notice was wrong.
+        notices.observe(upstream(0), UpstreamSign::ProbeLive, now + seconds(11));
+        CHECK(status(notices, 0, now + seconds(11)).condition == UpstreamCondition::Live);
+    }
+}
+
+// Guards against a draining upstream that receives requests again because one sign says so.
+TEST_CASE("draining persists until a new incarnation")
+{
+    ServiceNotices notices;
+    notices.takeListing(rows(4), Start);
+    notices.observe(upstream(0), UpstreamSign::Draining, Start);
+    notices.takePeer(notice(1, UpstreamCondition::Draining, 1), Start);
+    notices.observe(upstream(0), UpstreamSign::ProbeLive, Start + seconds(60));
+    notices.observe(upstream(1), UpstreamSign::ProbeLive, Start + seconds(1));
+    notices.takePeer(notice(1, UpstreamCondition::Live, 2), Start + seconds(1));
+    notices.takeListing(rows(4), Start + seconds(60));
+    CHECK(status(notices, 0, Start + seconds(60)).condition == UpstreamCondition::Draining);
+    CHECK(status(notices, 1, Start + seconds(60)).condition == UpstreamCondition::Draining);
+    notices.takeListing(rows(4, 2), Start + seconds(61));
+    CHECK(usable(notices, Start + seconds(61)) == 4);
+    // A late notice about the predecessor must not hit its successor.
+    CHECK_FALSE(notices.takePeer(notice(1, UpstreamCondition::Draining, 9), Start + seconds(62)));
+}
+
+// Guards against old, repeated and overtaken notices.
+TEST_CASE("notices are taken once and in order")
+{
+    ServiceNotices notices;
+    notices.takeListing(rows(4), Start);
+    CHECK(notices.takePeer(notice(0, UpstreamCondition::Down, 5), Start));
+    CHECK_FALSE(notices.takePeer(notice(0, UpstreamCondition::Down, 5), Start));
+    CHECK_FALSE(notices.takePeer(notice(0, UpstreamCondition::Live, 4), Start));
+    CHECK(notices.takePeer(notice(0, UpstreamCondition::Live, 6), Start));
+    CHECK(usable(notices, Start) == 4);
+    CHECK_FALSE(notices.takePeer(notice(9, UpstreamCondition::Down, 7), Start));
+    notices.takePeer(notice(0, UpstreamCondition::Down, 8), Start);
+    CHECK(usable(notices, Start) == 3);
+    CHECK(usable(notices, Start + ServiceNotices::PeerDownValidity) == 4);
+}
+
+TEST_CASE("a refused connection is tried again after a growing back-off")
+{
+    ServiceNotices notices;
+    notices.takeListing(rows(1), Start);
+    Instant now = Start;
+    for (const auto expected : {250, 500, 1000, 2000, 4000, 8000, 10000, 10000}) {
+        CAPTURE(expected);
+        CHECK(notices.observe(upstream(0), UpstreamSign::ConnectFailed, now) == UpstreamCondition::Down);
+        // Own observation applies without a guard, and a second failure at once is no news.
+        CHECK(usable(notices, now) == 0);
+        CHECK_FALSE(notices.observe(upstream(0), UpstreamSign::ConnectFailed, now));
+        CHECK(notices.nextChange(now) == now + milliseconds(expected));
+        now += milliseconds(expected);
+        CHECK(usable(notices, now) == 1);
+    }
+    CHECK(notices.observe(upstream(0), UpstreamSign::Answered, now) == UpstreamCondition::Live);
+    notices.observe(upstream(0), UpstreamSign::ConnectFailed, now);
+    CHECK(notices.nextChange(now) == now + milliseconds(250));
+}
+
+// Guards against a wrong instance list that empties a service, at once or in steps, and a right one that is ignored.
+TEST_CASE("a list that ends more than half of a service must repeat it for 10 s")
+{
+    struct Case {
+        const char *name;
+        int remaining;
+        int usableAtOnce;
+    };
+    const std::vector<Case> cases = {{"half", 5, 5}, {"more than half", 4, 10}, {"all", 0, 10}, {"one", 9, 9}};
+    for (const Case &entry : cases) {
+        CAPTURE(entry.name);
+        ServiceNotices notices;
+        notices.takeListing(rows(10), Start);
+        notices.takeListing(rows(entry.remaining), Start + seconds(1));
+        CHECK(usable(notices, Start + seconds(1)) == entry.usableAtOnce);
+        notices.takeListing(rows(entry.remaining), Start + seconds(10));
+        CHECK(usable(notices, Start + seconds(10)) == entry.usableAtOnce);
+        notices.takeListing(rows(entry.remaining), Start + seconds(11));
+        CHECK(usable(notices, Start + seconds(11)) == entry.remaining);
+    }
+    SUBCASE("in steps")
+    {
+        ServiceNotices notices;
+        notices.takeListing(rows(10), Start);
+        notices.takeListing(rows(6), Start + seconds(1));
+        notices.takeListing(rows(3), Start + seconds(2));
+        CHECK(usable(notices, Start + seconds(2)) == 6);
+    }
+    SUBCASE("confirmed by own signs, restored by the list")
+    {
+        ServiceNotices notices;
+        notices.takeListing(rows(4), Start);
+        notices.takeListing({}, Start + seconds(1));
+        CHECK(status(notices, 0, Start + seconds(1)).confirmationWanted);
+        notices.observe(upstream(0), UpstreamSign::ProbeFailed, Start + seconds(1));
+        CHECK(usable(notices, Start + seconds(1)) == 3);
+        notices.takeListing(rows(4), Start + seconds(5));
+        notices.takeListing({}, Start + seconds(12));
+        CHECK(usable(notices, Start + seconds(12)) == 4);
+    }
+}
+
+TEST_CASE("notice board tells the region once and passes notices on once")
+{
+    const ServiceName service("shopfront");
+    NoticeBoard observer({.self = InstanceId("a")});
+    NoticeBoard receiver({.self = InstanceId("b")});
+    observer.setRegionMembers({InstanceId("b"), InstanceId("c")});
+    receiver.setRegionMembers({InstanceId("a"), InstanceId("c"), InstanceId("d"), InstanceId("e"), InstanceId("f")});
+    observer.takeListing(service, rows(4), Start);
+    receiver.takeListing(service, rows(4), Start);
+    CHECK(receiver.takeChanges(Start).size() == 1);
+
+    const PeerOutbox sent = observer.observe(service, upstream(2), UpstreamSign::Draining, Start);
+    REQUIRE(sent.size() == 2);
+    CHECK(observer.observe(service, upstream(2), UpstreamSign::Draining, Start).empty());
+    Wire::Body body = sent.front().envelope.bodies(0);
+    // A faulty peer asks for a long chain.
+    body.mutable_upstream_notice()->set_remaining_hops(1000);
+    const PeerOutbox passed = receiver.receive(body, Start);
+    REQUIRE(passed.size() == 3);
+    CHECK(passed.front().envelope.bodies(0).upstream_notice().remaining_hops() == 0);
+    CHECK(receiver.receive(body, Start).empty());
+    CHECK(receiver.takeChanges(Start).size() == 1);
+    CHECK(receiver.takeChanges(Start).empty());
+    CHECK(receiver.states(service, Start)[2].condition == UpstreamCondition::Draining);
+    CHECK(observer.receive(body, Start).empty());
+}
