--- /dev/null
+++ b/src/measuring/measuringbudget.cpp
@@ -0,0 +1,194 @@
+#include <filbertmount/measuring/measuringbudget.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace Filbertmount {
+
+namespace {
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+MeasuringBudget::MeasuringBudget(Options options)
+    : m_options(std::move(options))
+{
+}
+
+void MeasuringBudget::setService(const ServiceName &service, double budgetPercent, int slots, Instant now)
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto [found, added] = m_buckets.try_emplace(service);
+    Bucket &bucket = found->second;
+    if (added) {
+        bucket.accruedAt = now;
+    }
+    accrue(bucket, now);
+    const double budget = std::max(0.0, budgetPercent) / 100 * std::max(0, slots);
+    bucket.share = budget * 1e9 / std::max(1, m_options.instanceLimit);
+    bucket.tokens = std::min(bucket.tokens, totalCapacity(bucket));
+}
+
+void MeasuringBudget::removeService(const ServiceName &service)
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_buckets.erase(service);
+}
+
+void MeasuringBudget::setMemberCount(int members)
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_overLimit = members > m_options.instanceLimit;
+    if (!m_overLimit) {
+        return;
+    }
+    for (auto &[service, bucket] : m_buckets) {
+        bucket.tokens = std::min<std::int64_t>(bucket.tokens, 0);
+        bucket.paused = true;
+    }
+}
+
+std::int64_t MeasuringBudget::ownCapacity(const Bucket &bucket)
+{
+    return static_cast<std::int64_t>(std::floor(bucket.share * secondsOf(Capacity)));
+}
+
+std::int64_t MeasuringBudget::totalCapacity(const Bucket &bucket) const
+{
+    return ownCapacity(bucket) * std::max(1, m_options.instanceLimit);
+}
+
+void MeasuringBudget::accrue(Bucket &bucket, Instant now)
+{
+    const Duration elapsed = now - bucket.accruedAt;
+    if (elapsed <= Duration::zero()) {
+        return;
+    }
+    if (m_overLimit || bucket.paused) {
+        bucket.accruedAt = now;
+        bucket.paused = m_overLimit;
+        return;
+    }
+    const auto accrued = static_cast<std::int64_t>(std::floor(bucket.share * std::min(secondsOf(elapsed), secondsOf(Capacity))));
+    if (accrued == 0) {
+        return;
+    }
+    bucket.accruedAt = now;
+    // Received tokens may exceed the own capacity; accrual only fills up to it.
+    bucket.tokens = std::max(bucket.tokens, std::min(bucket.tokens + accrued, ownCapacity(bucket)));
+}
+
+bool MeasuringBudget::reserve(const ServiceName &service, Duration cost, Instant now)
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_buckets.find(service);
+    if (found == m_buckets.end() || m_overLimit || cost < Duration::zero()) {
+        return false;
+    }
+    accrue(found->second, now);
+    if (found->second.tokens < cost.count()) {
+        return false;
+    }
+    found->second.tokens -= cost.count();
+    return true;
+}
+
+void MeasuringBudget::settle(const ServiceName &service, Duration reserved, Duration measured, Instant now)
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_buckets.find(service);
+    if (found == m_buckets.end()) {
+        return;
+    }
+    Bucket &bucket = found->second;
+    accrue(bucket, now);
+    const std::int64_t tokens = bucket.tokens + (reserved - std::max(measured, Duration::zero())).count();
+    bucket.tokens = std::min(tokens, m_overLimit ? 0 : totalCapacity(bucket));
+}
+
+PeerOutbox MeasuringBudget::transfer(const std::vector<std::pair<ServiceName, InstanceId>> &dispatchers, Instant now)
+{
+    const absl::MutexLock lock(&m_mutex);
+    PeerOutbox outbox;
+    if (now < m_nextTransfer || m_overLimit) {
+        return outbox;
+    }
+    m_nextTransfer = now + TransferInterval;
+    std::vector<std::tuple<std::int64_t, const ServiceName *, const InstanceId *>> largest;
+    for (const auto &[service, dispatcher] : dispatchers) {
+        const auto found = m_buckets.find(service);
+        if (found == m_buckets.end() || dispatcher == m_options.self) {
+            continue;
+        }
+        accrue(found->second, now);
+        // Messages carry microseconds.
+        if (const std::int64_t micros = found->second.tokens / 1000; micros > 0) {
+            largest.emplace_back(micros, &service, &dispatcher);
+        }
+    }
+    std::sort(largest.begin(), largest.end(), [](const auto &left, const auto &right) {
+        return std::get<0>(left) != std::get<0>(right) ? std::get<0>(left) > std::get<0>(right)
+                                                       : *std::get<1>(left) < *std::get<1>(right);
+    });
+    largest.resize(std::min(largest.size(), TransfersPerInterval));
+    for (const auto &[micros, service, dispatcher] : largest) {
+        m_buckets.at(*service).tokens -= micros * 1000;
+        Wire::BudgetTransfer &message = *appendBody(outbox, *dispatcher).mutable_budget_transfer();
+        message.set_service(service->value());
+        message.set_sequence(++m_sequence);
+        message.set_slot_time_us(static_cast<std::uint64_t>(micros));
+        message.set_recipient(dispatcher->value());
+    }
+    return outbox;
+}
+
+bool MeasuringBudget::receive(const InstanceId &from, const Wire::BudgetTransfer &transfer, Instant now)
+{
+    const absl::MutexLock lock(&m_mutex);
+    if (transfer.recipient() != m_options.self.value()) {
+        return false;
+    }
+    if (!m_senders.contains(from) && m_senders.size() >= MaxSenders) {
+        return false;
+    }
+    std::uint64_t &last = m_senders[from];
+    if (transfer.sequence() <= last) {
+        return false;
+    }
+    last = transfer.sequence();
+    const auto found = m_buckets.find(ServiceName(transfer.service()));
+    if (found == m_buckets.end() || m_overLimit) {
+        return false;
+    }
+    Bucket &bucket = found->second;
+    accrue(bucket, now);
+    const std::int64_t room = std::max<std::int64_t>(0, totalCapacity(bucket) - bucket.tokens);
+    const std::uint64_t micros = std::min(transfer.slot_time_us(), static_cast<std::uint64_t>(room) / 1000);
+    bucket.tokens += static_cast<std::int64_t>(micros) * 1000;
+    return true;
+}
+
+Duration MeasuringBudget::balance(const ServiceName &service, Instant now)
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_buckets.find(service);
+    if (found == m_buckets.end()) {
+        return Duration::zero();
+    }
+    accrue(found->second, now);
+    return Duration(found->second.tokens);
+}
+
+bool MeasuringBudget::overLimit() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_overLimit;
+}
+
+} // namespace Filbertmount
