--- a/src/proxy/callerrequest.cpp
+++ b/src/proxy/callerrequest.cpp
@@ -124,6 +124,12 @@
     if (std::optional<Problem> problem = framingProblem(head)) {
         return problem;
     }
+    if (ports.admits && !ports.admits()) {
+        return Problem{.status = 503,
+                       .detail = "the service documents are not known to be current",
+                       .retry = true,
+                       .retryAfter = std::chrono::seconds(1)};
+    }
     const std::shared_ptr<const DirectoryEntry> entry = directory.find(*findHeader(head.headers, "Host"));
     if (entry == nullptr) {
         return Problem{.status = 404, .detail = "no service has this host name"};
