--- a/include/filbertmount/routing/router.h
+++ b/include/filbertmount/routing/router.h
@@ -88,7 +88,10 @@
     bool takeRetry(const ServiceName &service);
     /** Time after which a repeatable request may be hedged; nothing while too little is known. */
     std::optional<Duration> hedgeDelay(const ServiceName &service);
-    /** Takes one hedged attempt out of the service's budget; returns false when the budget is used up. */
+    /**
+     * Takes one hedged attempt out of the service's budget; returns false when the budget is used up. The budget gets
+     * it back when place() refuses the hedged attempt.
+     */
     bool takeHedge(const ServiceName &service);
 
     /** Handles what is due. Call every few milliseconds. */
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -32,6 +32,7 @@
     struct Waiting {
         PlacementHandler handler;
         TeamName team;
+        bool isHedge = false;
     };
 
     const ServiceName name;
@@ -267,7 +268,7 @@
             request.excluded.push_back(*index);
         }
     }
-    service.waiting.try_emplace(request.request, Service::Waiting{std::move(handler), service.routing.team});
+    service.waiting.try_emplace(request.request, Service::Waiting{std::move(handler), service.routing.team, query.hedge});
     service.router.request(std::move(request), time, service.output);
     collect(service, effects);
 }
@@ -373,6 +374,9 @@
         }
         if (std::holds_alternative<PlacementRefusal>(result)) {
             finish(node.mapped().team);
+            if (node.mapped().isHedge) {
+                service.hedges.giveBack();
+            }
         }
         effects.answers.push_back({std::move(node.mapped().handler), std::move(result)});
     };
