--- a/include/filbertmount/claims/claimoptions.h
+++ b/include/filbertmount/claims/claimoptions.h
@@ -10,8 +10,8 @@
 struct ClaimOptions {
     /** Time for which claims are collected when the shard was written shortly before. */
     Duration batchDelay = std::chrono::milliseconds(3);
-    /** A completion waits this long for a claim to share its write with. */
-    Duration completionDelay = std::chrono::milliseconds(200);
+    /** A completion waits this long for a claim to share its write with; a claim of the same key does not wait for it. */
+    Duration completionDelay = std::chrono::seconds(1);
     /** Shortest and longest wait for the answer of the preferred writer before the instance writes itself. */
     Duration forwardTimeout = std::chrono::milliseconds(30);
     Duration forwardTimeoutLimit = std::chrono::milliseconds(400);
--- /dev/null
+++ b/include/filbertmount/quarantine/crashguard.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <filbertmount/quarantine/crashquarantine.h>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/functional/any_invocable.h>
+#include <absl/synchronization/mutex.h>
+
+#include <functional>
+
+namespace Filbertmount {
+
+/** Thread-safe CrashQuarantine for the proxy. Handlers and the sender run without the lock. */
+class CrashGuard
+{
+public:
+    /** Gets Run, Quarantined or Busy; the ticket counts with Run only. Runs exactly once, on any thread. */
+    using Handler = absl::AnyInvocable<void(CrashAdmission, const CrashTicket &)>;
+    /** Sends to every live member. */
+    using Sender = std::function<void(Wire::Body)>;
+
+    CrashGuard(const InstanceId &self, Sender sender, const CrashQuarantineOptions &options);
+
+    /** Asks for one attempt; returns the number for withdraw(). @p handler may run before this returns. */
+    RequestId admit(const ServiceName &service, const CrashFingerprint &fingerprint, Handler handler);
+    /** Gives a waiting request up. Returns whether its handler will not run any more. */
+    bool withdraw(RequestId request, const CrashFingerprint &fingerprint);
+
+    // Each ticket is ended exactly once; see CrashQuarantine.
+    void succeeded(const CrashTicket &ticket);
+    void broken(const CrashTicket &ticket, const UpstreamId &upstream);
+    void ended(const CrashTicket &ticket);
+
+    void receive(const InstanceId &from, const Wire::CrashStrike &message);
+    void tick(Instant now);
+
+    /** Returns the number of quarantined fingerprints. */
+    [[nodiscard]] std::size_t quarantined() const;
+
+private:
+    struct Answer {
+        Handler handler;
+        CrashDecision decision;
+    };
+
+    template<class Change>
+    void update(Change change);
+    void take(const CrashDecision &decision, std::vector<Answer> *answers) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    const Sender m_sender;
+    mutable absl::Mutex m_mutex;
+    CrashQuarantine m_quarantine ABSL_GUARDED_BY(m_mutex);
+    absl::flat_hash_map<RequestId, Handler> m_waiting ABSL_GUARDED_BY(m_mutex);
+    std::uint64_t m_lastRequest ABSL_GUARDED_BY(m_mutex) = 0;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/quarantine/crashguard.cpp
@@ -0,0 +1,108 @@
+#include <filbertmount/quarantine/crashguard.h>
+
+#include <utility>
+
+namespace Filbertmount {
+
+CrashGuard::CrashGuard(const InstanceId &self, Sender sender, const CrashQuarantineOptions &options)
+    : m_sender(std::move(sender))
+    , m_quarantine(self, options)
+{
+}
+
+template<class Change>
+void CrashGuard::update(Change change)
+{
+    std::vector<Answer> answers;
+    std::vector<Wire::CrashStrike> messages;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        change(&answers);
+        for (const CrashDecision &decision : m_quarantine.takeDecisions()) {
+            take(decision, &answers);
+        }
+        messages = m_quarantine.takeMessages();
+    }
+    for (Wire::CrashStrike &message : messages) {
+        Wire::Body body;
+        *body.mutable_crash_strike() = std::move(message);
+        m_sender(std::move(body));
+    }
+    for (Answer &answer : answers) {
+        answer.handler(answer.decision.admission, answer.decision.ticket);
+    }
+}
+
+void CrashGuard::take(const CrashDecision &decision, std::vector<Answer> *answers)
+{
+    const auto found = m_waiting.find(decision.request);
+    if (found != m_waiting.end()) {
+        answers->push_back({.handler = std::move(found->second), .decision = decision});
+        m_waiting.erase(found);
+    }
+}
+
+RequestId CrashGuard::admit(const ServiceName &service, const CrashFingerprint &fingerprint, Handler handler)
+{
+    RequestId request;
+    update([&](std::vector<Answer> *answers) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        request = RequestId(++m_lastRequest);
+        const CrashDecision decision = m_quarantine.admit(request, service, fingerprint, ProcessClock::now());
+        if (decision.admission == CrashAdmission::Wait) {
+            m_waiting.emplace(request, std::move(handler));
+            return;
+        }
+        answers->push_back({.handler = std::move(handler), .decision = decision});
+    });
+    return request;
+}
+
+bool CrashGuard::withdraw(RequestId request, const CrashFingerprint &fingerprint)
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_quarantine.withdraw(request, fingerprint);
+    return m_waiting.erase(request) > 0;
+}
+
+void CrashGuard::succeeded(const CrashTicket &ticket)
+{
+    update([&](auto *) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        m_quarantine.succeeded(ticket, ProcessClock::now());
+    });
+}
+
+void CrashGuard::broken(const CrashTicket &ticket, const UpstreamId &upstream)
+{
+    update([&](auto *) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        m_quarantine.broken(ticket, upstream, ProcessClock::now());
+    });
+}
+
+void CrashGuard::ended(const CrashTicket &ticket)
+{
+    update([&](auto *) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        m_quarantine.ended(ticket, ProcessClock::now());
+    });
+}
+
+void CrashGuard::receive(const InstanceId &from, const Wire::CrashStrike &message)
+{
+    update([&](auto *) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        m_quarantine.receive(from, message, ProcessClock::now());
+    });
+}
+
+void CrashGuard::tick(Instant now)
+{
+    update([&](auto *) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        m_quarantine.tick(now);
+    });
+}
+
+std::size_t CrashGuard::quarantined() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_quarantine.quarantined(ProcessClock::now());
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/quarantine/crashquarantine.cpp
@@ -0,0 +1,318 @@
+#include <filbertmount/quarantine/crashquarantine.h>
+
+#include <openssl/sha.h>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+constexpr std::uint64_t SequenceWindow = 64;
+// Origins whose sequence numbers are kept; those that left are dropped with all others when there are more.
+constexpr std::size_t MaxOrigins = 10'000;
+constexpr std::size_t MaxStrikes = 16;
+
+void appendPart(std::string *text, const std::string &part)
+{
+    // With its length, so that a byte cannot move from one part to the next unnoticed.
+    text->append(std::to_string(part.size())).append(":").append(part);
+}
+
+} // namespace
+
+CrashFingerprint
+crashFingerprint(const ServiceName &service, const std::string &method, const std::string &target, const std::string &bodyHash)
+{
+    std::string text;
+    for (const std::string *part : {&service.value(), &method, &target, &bodyHash}) {
+        appendPart(&text, *part);
+    }
+    std::array<std::uint8_t, SHA256_DIGEST_LENGTH> digest{};
+    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
+    CrashFingerprint fingerprint{};
+    std::copy_n(digest.begin(), fingerprint.size(), fingerprint.begin());
+    return fingerprint;
+}
+
+CrashQuarantine::CrashQuarantine(InstanceId self, const CrashQuarantineOptions &options)
+    : m_self(std::move(self))
+    , m_options(options)
+{
+}
+
+CrashDecision
+CrashQuarantine::admit(RequestId request, const ServiceName &service, const CrashFingerprint &fingerprint, Instant now)
+{
+    CrashDecision decision{.request = request, .ticket = {.service = service, .fingerprint = fingerprint}};
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end() || found->second.strikes.empty() || found->second.lastStrike + m_options.memory <= now) {
+        return decision;
+    }
+    Suspect &suspect = found->second;
+    if (suspect.quarantinedUntil > now) {
+        decision.admission = CrashAdmission::Quarantined;
+        return decision;
+    }
+    if (suspect.run == 0) {
+        suspect.run = ++m_lastRun;
+        decision.ticket.run = suspect.run;
+        return decision;
+    }
+    if (suspect.waiting.size() >= m_options.maxWaiting) {
+        decision.admission = CrashAdmission::Busy;
+        return decision;
+    }
+    suspect.waiting.push_back(request);
+    decision.admission = CrashAdmission::Wait;
+    return decision;
+}
+
+void CrashQuarantine::withdraw(RequestId request, const CrashFingerprint &fingerprint)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end()) {
+        std::erase(found->second.waiting, request);
+    }
+}
+
+void CrashQuarantine::succeeded(const CrashTicket &ticket, Instant now)
+{
+    rememberSuccess(ticket.fingerprint, now);
+    if (m_suspects.count(ticket.fingerprint) == 0) {
+        return;
+    }
+    clear(ticket.fingerprint);
+    announce(ticket, {}, true);
+}
+
+void CrashQuarantine::broken(const CrashTicket &ticket, const UpstreamId &upstream, Instant now)
+{
+    const Strike own{.upstream = upstream, .origin = m_self, .underSuspicion = ticket.run != 0, .at = now};
+    strike(ticket.service, ticket.fingerprint, own);
+    announce(ticket, own, false);
+    endRun(ticket, now);
+}
+
+void CrashQuarantine::ended(const CrashTicket &ticket, Instant now)
+{
+    endRun(ticket, now);
+}
+
+void CrashQuarantine::receive(const InstanceId &from, const Wire::CrashStrike &message, Instant now)
+{
+    CrashFingerprint fingerprint{};
+    // A peer speaks only for itself: else one confused peer could pass for several.
+    if (message.origin() != from.value() || from == m_self || message.fingerprint().size() != fingerprint.size()
+        || message.service().empty() || !firstArrival(from, message.sequence())) {
+        return;
+    }
+    std::copy(message.fingerprint().begin(), message.fingerprint().end(), fingerprint.begin());
+    if (message.cleared()) {
+        clearByPeer(fingerprint, from);
+        return;
+    }
+    strike(ServiceName(message.service()),
+           fingerprint,
+           {.upstream = UpstreamId(message.upstream()), .origin = from, .underSuspicion = message.under_suspicion(), .at = now});
+}
+
+void CrashQuarantine::strike(const ServiceName &service, const CrashFingerprint &fingerprint, const Strike &strike)
+{
+    if (m_suspects.count(fingerprint) == 0) {
+        makeRoom();
+        const auto ofOrigin = std::count_if(m_suspects.begin(), m_suspects.end(), [&](const auto &entry) {
+            const auto &strikes = entry.second.strikes;
+            return !strikes.empty() && strikes.front().origin == strike.origin;
+        });
+        if (strike.origin != m_self && static_cast<std::size_t>(ofOrigin) >= m_options.maxSuspectsOfPeer) {
+            return;
+        }
+    }
+    Suspect &suspect = m_suspects[fingerprint];
+    suspect.service = service;
+    suspect.lastStrike = strike.at;
+    std::erase_if(suspect.strikes, [&](const Strike &known) {
+        return known.at + m_options.memory <= strike.at;
+    });
+    if (suspect.strikes.size() < MaxStrikes) {
+        suspect.strikes.push_back(strike);
+    }
+    judge(fingerprint, suspect, strike.at);
+}
+
+void CrashQuarantine::judge(const CrashFingerprint &fingerprint, Suspect &suspect, Instant now)
+{
+    const std::vector<Strike> &strikes = suspect.strikes;
+    const bool inSequence = std::any_of(strikes.begin(), strikes.end(), [&](const Strike &later) {
+        return later.underSuspicion && std::any_of(strikes.begin(), strikes.end(), [&](const Strike &earlier) {
+                   return earlier.upstream != later.upstream;
+               });
+    });
+    const bool severalOrigins = std::any_of(strikes.begin(), strikes.end(), [&](const Strike &strike) {
+        return strike.origin != strikes.front().origin;
+    });
+    const bool onePeerAlone = !severalOrigins && strikes.front().origin != m_self;
+    if (!inSequence || (onePeerAlone && succeededLately(fingerprint, now))) {
+        return;
+    }
+    suspect.quarantinedUntil = now + m_options.memory;
+    answerAll(fingerprint, suspect, CrashAdmission::Quarantined);
+}
+
+void CrashQuarantine::endRun(const CrashTicket &ticket, Instant now)
+{
+    const auto found = m_suspects.find(ticket.fingerprint);
+    if (found == m_suspects.end() || ticket.run == 0 || found->second.run != ticket.run) {
+        return;
+    }
+    found->second.run = 0;
+    if (found->second.quarantinedUntil <= now) {
+        runNext(ticket.fingerprint, found->second);
+    }
+}
+
+void CrashQuarantine::runNext(const CrashFingerprint &fingerprint, Suspect &suspect)
+{
+    if (suspect.waiting.empty()) {
+        return;
+    }
+    suspect.run = ++m_lastRun;
+    const CrashTicket ticket{.service = suspect.service, .fingerprint = fingerprint, .run = suspect.run};
+    m_decisions.push_back({.request = suspect.waiting.front(), .admission = CrashAdmission::Run, .ticket = ticket});
+    suspect.waiting.pop_front();
+}
+
+void CrashQuarantine::clear(const CrashFingerprint &fingerprint)
+{
+    const auto found = m_suspects.find(fingerprint);
+    answerAll(fingerprint, found->second, CrashAdmission::Run);
+    m_suspects.erase(found);
+}
+
+void CrashQuarantine::clearByPeer(const CrashFingerprint &fingerprint, const InstanceId &from)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end()) {
+        return;
+    }
+    Suspect &suspect = found->second;
+    if (std::find(suspect.clearedBy.begin(), suspect.clearedBy.end(), from) != suspect.clearedBy.end()) {
+        return;
+    }
+    // The entry stays until it expires, to remember who cleared it.
+    suspect.clearedBy.push_back(from);
+    suspect.strikes.clear();
+    suspect.run = 0;
+    suspect.quarantinedUntil = {};
+    answerAll(fingerprint, suspect, CrashAdmission::Run);
+}
+
+void CrashQuarantine::answerAll(const CrashFingerprint &fingerprint, Suspect &suspect, CrashAdmission admission)
+{
+    const CrashTicket ticket{.service = suspect.service, .fingerprint = fingerprint};
+    for (const RequestId request : suspect.waiting) {
+        m_decisions.push_back({.request = request, .admission = admission, .ticket = ticket});
+    }
+    suspect.waiting.clear();
+}
+
+void CrashQuarantine::makeRoom()
+{
+    if (m_suspects.size() < m_options.maxSuspects) {
+        return;
+    }
+    const auto oldest = std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto &left, const auto &right) {
+        return left.second.lastStrike < right.second.lastStrike;
+    });
+    answerAll(oldest->first, oldest->second, CrashAdmission::Run);
+    m_suspects.erase(oldest);
+}
+
+void CrashQuarantine::tick(Instant now)
+{
+    for (auto entry = m_suspects.begin(); entry != m_suspects.end();) {
+        if (entry->second.lastStrike + m_options.memory > now) {
+            ++entry;
+            continue;
+        }
+        answerAll(entry->first, entry->second, CrashAdmission::Run);
+        entry = m_suspects.erase(entry);
+    }
+    while (!m_successes.empty() && m_successes.front().second + m_options.memory <= now) {
+        m_successIndex.erase(m_successes.front().first);
+        m_successes.pop_front();
+    }
+}
+
+void CrashQuarantine::rememberSuccess(const CrashFingerprint &fingerprint, Instant now)
+{
+    const auto known = m_successIndex.find(fingerprint);
+    if (known != m_successIndex.end()) {
+        m_successes.erase(known->second);
+    } else if (m_successes.size() >= m_options.maxSuccesses) {
+        m_successIndex.erase(m_successes.front().first);
+        m_successes.pop_front();
+    }
+    m_successIndex[fingerprint] = m_successes.insert(m_successes.end(), {fingerprint, now});
+}
+
+bool CrashQuarantine::succeededLately(const CrashFingerprint &fingerprint, Instant now) const
+{
+    const auto known = m_successIndex.find(fingerprint);
+    return known != m_successIndex.end() && known->second->second + m_options.memory > now;
+}
+
+bool CrashQuarantine::firstArrival(const InstanceId &origin, std::uint64_t sequence)
+{
+    if (m_sequences.size() >= MaxOrigins && m_sequences.count(origin) == 0) {
+        m_sequences.clear();
+    }
+    Sequences &known = m_sequences[origin];
+    if (sequence > known.highest) {
+        const std::uint64_t ahead = sequence - known.highest;
+        known.seen = ahead >= SequenceWindow ? 0 : known.seen << ahead;
+        known.seen |= 1U;
+        known.highest = sequence;
+        return true;
+    }
+    const std::uint64_t behind = known.highest - sequence;
+    const std::uint64_t bit = behind < SequenceWindow ? std::uint64_t{1} << behind : 0;
+    if (bit == 0 || (known.seen & bit) != 0) {
+        return false;
+    }
+    known.seen |= bit;
+    return true;
+}
+
+void CrashQuarantine::announce(const CrashTicket &ticket, const Strike &strike, bool cleared)
+{
+    Wire::CrashStrike message;
+    message.set_service(ticket.service.value());
+    message.set_fingerprint(ticket.fingerprint.data(), ticket.fingerprint.size());
+    message.set_upstream(strike.upstream.value());
+    message.set_origin(m_self.value());
+    message.set_sequence(++m_lastSequence);
+    message.set_cleared(cleared);
+    message.set_under_suspicion(strike.underSuspicion);
+    m_messages.push_back(std::move(message));
+}
+
+std::vector<CrashDecision> CrashQuarantine::takeDecisions()
+{
+    return std::exchange(m_decisions, {});
+}
+
+std::vector<Wire::CrashStrike> CrashQuarantine::takeMessages()
+{
+    return std::exchange(m_messages, {});
+}
+
+std::size_t CrashQuarantine::quarantined(Instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_suspects.begin(), m_suspects.end(), [now](const auto &entry) {
+        return entry.second.quarantinedUntil > now;
+    }));
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/tests/quarantine/crashquarantinetest.cpp
@@ -0,0 +1,203 @@
+#include <filbertmount/quarantine/crashguard.h>
+
+#include <doctest/doctest.h>
+
+using namespace Filbertmount;
+
+namespace {
+
+const ServiceName Shop("shop");
+const UpstreamId First("u1");
+const UpstreamId Second("u2");
+const InstanceId Peer("entry-1");
+const InstanceId OtherPeer("entry-2");
+
+CrashFingerprint print(const std::string &target)
+{
+    return crashFingerprint(Shop, "POST", target, "");
+}
+
+Instant at(int seconds)
+{
+    return Instant(std::chrono::seconds(seconds));
+}
+
+Wire::CrashStrike strikeOf(const InstanceId &origin, const UpstreamId &upstream, std::uint64_t sequence, bool underSuspicion)
+{
+    Wire::CrashStrike message;
+    const CrashFingerprint fingerprint = print("/kill");
+    message.set_service(Shop.value());
+    message.set_fingerprint(fingerprint.data(), fingerprint.size());
+    message.set_upstream(upstream.value());
+    message.set_origin(origin.value());
+    message.set_sequence(sequence);
+    message.set_under_suspicion(underSuspicion);
+    return message;
+}
+
+/** An instance with one more function: a whole attempt that breaks on an upstream. */
+struct Node {
+    CrashQuarantine quarantine{InstanceId("entry-0"), {}};
+    std::uint64_t request = 0;
+
+    CrashDecision admit(int second)
+    {
+        return quarantine.admit(RequestId(++request), Shop, print("/kill"), at(second));
+    }
+    CrashAdmission breakOn(const UpstreamId &upstream, int second)
+    {
+        const CrashDecision decision = admit(second);
+        if (decision.admission == CrashAdmission::Run) {
+            quarantine.broken(decision.ticket, upstream, at(second));
+        }
+        return decision.admission;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request that crashes two upstreams in sequence is quarantined for ten minutes")
+{
+    Node node;
+    CHECK(node.breakOn(First, 0) == CrashAdmission::Run);
+    CHECK(node.breakOn(Second, 1) == CrashAdmission::Run);
+    CHECK(node.admit(2).admission == CrashAdmission::Quarantined);
+    CHECK(node.admit(600).admission == CrashAdmission::Quarantined);
+    CHECK(node.quarantine.admit(RequestId(99), Shop, print("/other"), at(2)).admission == CrashAdmission::Run);
+    node.quarantine.tick(at(601));
+    CHECK(node.quarantine.suspects() == 0);
+    CHECK(node.admit(601).admission == CrashAdmission::Run);
+}
+
+// Guards against the loss of a zone: its upstreams die at once and strike popular requests that do no harm.
+TEST_CASE("upstreams that die at the same time do not quarantine what they ran")
+{
+    Node node;
+    const CrashDecision one = node.admit(0);
+    const CrashDecision two = node.admit(0);
+    node.quarantine.broken(one.ticket, First, at(1));
+    node.quarantine.broken(two.ticket, Second, at(1));
+    const CrashDecision alone = node.admit(2);
+    REQUIRE(alone.admission == CrashAdmission::Run);
+    CHECK(node.admit(2).admission == CrashAdmission::Wait);
+    CHECK(node.admit(2).admission == CrashAdmission::Wait);
+    node.quarantine.takeDecisions();
+
+    SUBCASE("a success lets all that wait run")
+    {
+        node.quarantine.succeeded(alone.ticket, at(3));
+        const std::vector<CrashDecision> decisions = node.quarantine.takeDecisions();
+        REQUIRE(decisions.size() == 2);
+        CHECK(decisions[1].admission == CrashAdmission::Run);
+        CHECK(node.quarantine.suspects() == 0);
+        CHECK(node.quarantine.takeMessages().back().cleared());
+    }
+    SUBCASE("a timeout lets the next one run")
+    {
+        node.quarantine.ended(alone.ticket, at(3));
+        CHECK(node.quarantine.takeDecisions().size() == 1);
+    }
+    SUBCASE("a break refuses all that wait")
+    {
+        node.quarantine.broken(alone.ticket, First, at(3));
+        const std::vector<CrashDecision> decisions = node.quarantine.takeDecisions();
+        REQUIRE(decisions.size() == 2);
+        CHECK(decisions[0].admission == CrashAdmission::Quarantined);
+        CHECK(decisions[1].admission == CrashAdmission::Quarantined);
+    }
+}
+
+TEST_CASE("strikes of peers")
+{
+    Node node;
+    SUBCASE("quarantine a request that this instance has never run")
+    {
+        node.quarantine.receive(Peer, strikeOf(Peer, First, 1, false), at(0));
+        node.quarantine.receive(Peer, strikeOf(Peer, Second, 2, true), at(1));
+        CHECK(node.admit(2).admission == CrashAdmission::Quarantined);
+    }
+    SUBCASE("of one peer alone do not quarantine what succeeds here; of two they do")
+    {
+        node.quarantine.succeeded(node.admit(0).ticket, at(0));
+        node.quarantine.receive(Peer, strikeOf(Peer, First, 1, false), at(1));
+        node.quarantine.receive(Peer, strikeOf(Peer, Second, 2, true), at(1));
+        const CrashDecision alone = node.admit(2);
+        CHECK(alone.admission == CrashAdmission::Run);
+        node.quarantine.ended(alone.ticket, at(2));
+        node.quarantine.receive(OtherPeer, strikeOf(OtherPeer, Second, 1, true), at(3));
+        CHECK(node.admit(4).admission == CrashAdmission::Quarantined);
+    }
+    SUBCASE("count for the sender only")
+    {
+        node.quarantine.receive(Peer, strikeOf(OtherPeer, First, 1, false), at(0));
+        node.quarantine.receive(Peer, strikeOf(InstanceId("entry-0"), First, 2, false), at(0));
+        CHECK(node.quarantine.suspects() == 0);
+    }
+    SUBCASE("a clearing is taken once, and a late duplicate of a strike not at all")
+    {
+        Wire::CrashStrike clearing = strikeOf(Peer, First, 5, false);
+        clearing.set_cleared(true);
+        node.quarantine.receive(Peer, strikeOf(Peer, First, 4, false), at(0));
+        node.quarantine.receive(Peer, clearing, at(1));
+        node.quarantine.receive(Peer, strikeOf(Peer, First, 4, false), at(1));
+        CHECK(node.admit(2).ticket.run == 0);
+        CHECK(node.breakOn(First, 3) == CrashAdmission::Run);
+        CHECK(node.breakOn(Second, 4) == CrashAdmission::Run);
+        clearing.set_sequence(6);
+        node.quarantine.receive(Peer, clearing, at(5));
+        CHECK(node.admit(6).admission == CrashAdmission::Quarantined);
+    }
+}
+
+TEST_CASE("the memory of the quarantine is bounded")
+{
+    const CrashQuarantineOptions options{.maxSuspects = 100, .maxSuspectsOfPeer = 20, .maxSuccesses = 10, .maxWaiting = 2};
+    CrashQuarantine quarantine(InstanceId("entry-0"), options);
+    for (std::uint64_t number = 1; number <= 1000; ++number) {
+        Wire::CrashStrike message = strikeOf(Peer, First, number, false);
+        const CrashFingerprint fingerprint = print(std::to_string(number));
+        message.set_fingerprint(fingerprint.data(), fingerprint.size());
+        quarantine.receive(Peer, message, at(0));
+    }
+    CHECK(quarantine.suspects() == 20);
+    for (int number = 0; number < 1000; ++number) {
+        quarantine.broken({.service = Shop, .fingerprint = print("own" + std::to_string(number))}, First, at(number));
+    }
+    CHECK(quarantine.suspects() <= 100);
+    const CrashFingerprint last = print("own999");
+    CHECK(quarantine.admit(RequestId(1), Shop, last, at(1000)).admission == CrashAdmission::Run);
+    CHECK(quarantine.admit(RequestId(2), Shop, last, at(1000)).admission == CrashAdmission::Wait);
+    CHECK(quarantine.admit(RequestId(3), Shop, last, at(1000)).admission == CrashAdmission::Wait);
+    CHECK(quarantine.admit(RequestId(4), Shop, last, at(1000)).admission == CrashAdmission::Busy);
+}
+
+TEST_CASE("crash guard answers waiting requests and tells the members")
+{
+    std::vector<Wire::Body> sent;
+    CrashGuard guard(InstanceId("entry-0"),
+                     [&sent](const Wire::Body &body) {
+                         sent.push_back(body);
+                     },
+                     {});
+    std::vector<CrashTicket> running;
+    std::vector<CrashAdmission> answers;
+    const auto admit = [&] {
+        return guard.admit(Shop, print("/kill"), [&](CrashAdmission admission, const CrashTicket &ticket) {
+            answers.push_back(admission);
+            running.push_back(ticket);
+        });
+    };
+    admit();
+    guard.broken(running.back(), First);
+    admit();
+    admit();
+    const RequestId given = admit();
+    CHECK(answers.size() == 2);
+    CHECK(guard.withdraw(given, print("/kill")));
+    guard.broken(running.back(), Second);
+    REQUIRE(answers.size() == 3);
+    CHECK(answers.back() == CrashAdmission::Quarantined);
+    CHECK(guard.quarantined() == 1);
+    REQUIRE(sent.size() == 2);
+    CHECK(sent[1].crash_strike().under_suspicion());
+}
