--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -5,7 +5,6 @@
 run_dir=$(mktemp -d)
 pids=""
 store=127.0.9.1:9000
-token=demo-token
 
 fleet_cleanup() {
     for pid in $pids; do
@@ -67,9 +66,13 @@
     curl -sf -X PUT --data "{\"instances\":[${rows%,}]}" "http://$store/instances?service=$service" >/dev/null
 }
 
+# token_hash TEAM: the token of a team is "token-of-TEAM".
+token_hash() {
+    printf %s "token-of-$1" | sha256sum | cut -d' ' -f1
+}
+
 entry_settings() {
     index=$1
-    hash=$(printf %s "$token" | sha256sum | cut -d' ' -f1)
     cat <<SETTINGS
 drain_grace = "1s"
 
@@ -91,11 +94,11 @@
 
 [[teams]]
 name = "spieku-darbnica"
-tokens_sha256 = ["$hash"]
+tokens_sha256 = ["$(token_hash spieku-darbnica)"]
 
 [[teams]]
 name = "kaya"
-tokens_sha256 = ["$hash"]
+tokens_sha256 = ["$(token_hash kaya)"]
 SETTINGS
 }
 
@@ -116,8 +119,11 @@
     wait_for 15 curl -sf "http://127.0.1.$1:7001/readyz"
 }
 
+# control TEAM ARGUMENT...: runs filbertmountctl with the token of a team.
 control() {
-    FILBERTMOUNT_TOKEN=$token "$bin/filbertmountctl" --admin 127.0.1.1:7001 "$@"
+    team=$1
+    shift
+    FILBERTMOUNT_TOKEN=token-of-$team "$bin/filbertmountctl" --server 127.0.1.1:7001 "$@"
 }
 
 # load SERVICE RATE SECONDS ORDER_PATH READ_PATH ENTRIES [OPTION]...: runs the load generator in the background.
--- a/standins/loadgen/loadoptions.h
+++ b/standins/loadgen/loadoptions.h
@@ -10,7 +10,8 @@
 
 /** An open load of one service. */
 struct LoadOptions {
-    /** "IP:port" of each entry instance; requests rotate over them as the platform's balancer would send them. */
+    /** "IP:port" of each entry instance. Requests rotate over them, and one that refused a connection is left out for a
+     * while, as the platform's balancer would do. */
     std::vector<std::string> entries;
     std::string service = "shopfront";
     /** Requests a second. */
--- a/standins/loadgen/loadrunner.cpp
+++ b/standins/loadgen/loadrunner.cpp
@@ -12,6 +12,7 @@
 /** One transfer of one request. */
 struct LoadRunner::Attempt {
     std::size_t request = 0;
+    std::size_t entry = 0;
     CURL *handle = nullptr;
     curl_slist *headers = nullptr;
     std::string url;
@@ -30,6 +31,9 @@
 
 namespace {
 
+// A balancer's health check finds out about as fast that an instance is back.
+constexpr Duration LeaveOutTime = std::chrono::seconds(2);
+
 size_t takeBody(char *data, size_t size, size_t count, void *target)
 {
     static_cast<std::string *>(target)->append(data, size * count);
@@ -55,6 +59,7 @@
     , m_random(options.seed)
     , m_multi(curl_multi_init())
     , m_timer(timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC))
+    , m_leftOutUntil(options.entries.size())
 {
     // Without this, libcurl keeps only a few idle connections and every request opens a new one.
     constexpr long connectionCache = 4000;
@@ -129,6 +134,18 @@
     return handle;
 }
 
+std::size_t LoadRunner::takeEntry(Instant now)
+{
+    const std::size_t first = m_nextEntry++;
+    for (std::size_t offset = 0; offset < m_options.entries.size(); ++offset) {
+        const std::size_t entry = (first + offset) % m_options.entries.size();
+        if (m_leftOutUntil[entry] <= now) {
+            return entry;
+        }
+    }
+    return first % m_options.entries.size();
+}
+
 void LoadRunner::send(std::size_t index)
 {
     CallerRequest &request = m_requests[index];
@@ -144,7 +161,8 @@
 
 void LoadRunner::configure(Attempt &attempt, const CallerRequest &request)
 {
-    const std::string &entry = m_options.entries[m_nextEntry++ % m_options.entries.size()];
+    attempt.entry = takeEntry(ProcessClock::now());
+    const std::string &entry = m_options.entries[attempt.entry];
     const std::string &path = request.order ? m_options.orderPath : m_options.readPath;
     attempt.url = "http://" + entry + path + "?bytes=" + std::to_string(m_options.answerBytes);
     attempt.headers = curl_slist_append(attempt.headers, ("Host: " + m_options.service).c_str());
@@ -197,6 +215,9 @@
                                                .whole = isWholeAnswer(attempt->answerBody, request.id, m_options.answerBytes)});
     request.alwaysNotRun = request.alwaysNotRun && outcome == CallerOutcome::NotRun;
     const Instant now = ProcessClock::now();
+    if (code == CURLE_COULDNT_CONNECT) {
+        m_leftOutUntil[attempt->entry] = now + LeaveOutTime;
+    }
     if (sendsAgain(request, outcome, m_options.resends)) {
         m_due.emplace(now + m_options.resendDelay, attempt->request);
         return;
--- a/standins/loadgen/loadrunner.h
+++ b/standins/loadgen/loadrunner.h
@@ -38,6 +38,7 @@
     void waitForWork(Instant now);
     void configure(Attempt &attempt, const CallerRequest &request);
     CURL *takeHandle();
+    std::size_t takeEntry(Instant now);
 
     const LoadOptions m_options;
     std::mt19937_64 m_random;
@@ -49,6 +50,8 @@
     std::map<CURL *, std::unique_ptr<Attempt>> m_attempts;
     std::vector<CURL *> m_idleHandles;
     std::size_t m_nextEntry = 0;
+    /** Until when the platform's balancer leaves an entry instance out, after it refused a connection. */
+    std::vector<Instant> m_leftOutUntil;
 };
 
 } // namespace Filbertmount::StandIn
