Answer 413 after the body, and use locks that ThreadSanitizer sees

Cause: a run of the store tests under the tsan preset showed two faults. A body over the limit was refused before its end; the connection was reset while the client still sent, and the client lost the response (status 0 instead of 413). And TSan reported 69 warnings. Ruled out: closing without an answer; an operator would see a lost response and exit code 7 for a document that is only too long. Change: BlockingServer discards up to 16 MiB of such a body and answers at its end.

--- a/apps/filbertmountctl/main.cpp
+++ b/apps/filbertmountctl/main.cpp
@@ -128,6 +128,12 @@
 ExitCode run(const Arguments &arguments)
 {
     const ControlOutput output{.out = &std::cout, .err = &std::cerr, .json = arguments.json};
+    // TCLAP takes an unknown option for a command word.
+    for (const std::string &word : arguments.words) {
+        if (!word.empty() && word.front() == '-') {
+            return usage("unknown option \"" + word + "\"");
+        }
+    }
     const bool oneArgument = arguments.words.size() == 2;
     if (arguments.words.front() == "validate") {
         return oneArgument ? validateFile(arguments.words[1], output) : usage("validate needs one file");
--- a/src/admin/tokentable.cpp
+++ b/src/admin/tokentable.cpp
@@ -26,7 +26,7 @@
 
 void TokenTable::setTeams(std::vector<TeamSettings> teams)
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     m_teams = std::move(teams);
 }
 
@@ -37,7 +37,7 @@
     }
     const TokenHash hash = hashOf(authorization.substr(BearerPrefix.size()));
     std::optional<TeamName> found;
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     // All hashes are compared, so that the time does not tell which team a token is close to.
     for (const TeamSettings &team : m_teams) {
         for (const TokenHash &token : team.tokens) {
--- a/src/admin/tokentable.h
+++ b/src/admin/tokentable.h
@@ -2,9 +2,7 @@
 
 #include <filbertmount/settings/instancesettings.h>
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
-
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,8 +21,9 @@
     [[nodiscard]] std::optional<TeamName> teamOf(const std::string &authorization) const;
 
 private:
-    mutable absl::Mutex m_mutex;
-    std::vector<TeamSettings> m_teams ABSL_GUARDED_BY(m_mutex);
+    // Guards the members below. ThreadSanitizer does not see the locks of Debian\'s Abseil, so it is a std::mutex.
+    mutable std::mutex m_mutex;
+    std::vector<TeamSettings> m_teams;
 };
 
 } // namespace Filbertmount
--- a/src/http/blockingserver.cpp
+++ b/src/http/blockingserver.cpp
@@ -16,6 +16,8 @@
 
 constexpr int HttpTooLarge = 413;
 constexpr int HttpInternalError = 500;
+// A longer body is not read to its end before the refusal.
+constexpr std::size_t MaxDiscardedBytes = std::size_t{16} << 20U;
 constexpr std::size_t ConnectionMemoryBytes = std::size_t{32} << 10U;
 
 MHD_Result collectHeader(void *context, MHD_ValueKind /*kind*/, const char *key, const char *value)
@@ -59,6 +61,17 @@
     return parsed.ec != std::errc() || length > limit;
 }
 
+/** A request in the course of being received. */
+struct IncomingRequest {
+    ServerRequest request;
+    std::size_t received = 0;
+};
+
+ServerAnswer tooLarge()
+{
+    return {.status = HttpTooLarge, .contentType = "text/plain", .body = "the body is too large\n"};
+}
+
 // Called by libmicrohttpd once with the header, once for each part of the body, and once at the end.
 MHD_Result handleAccess(void *context,
                         MHD_Connection *connection,
@@ -71,21 +84,26 @@
 {
     const auto *server = static_cast<BlockingServer *>(context);
     if (*state == nullptr) {
-        if (declaresMoreThan(connection, server->options().maxBodyBytes)) {
-            return send(connection, {.status = HttpTooLarge, .contentType = "text/plain", .body = "the body is too large\n"});
+        if (declaresMoreThan(connection, MaxDiscardedBytes)) {
+            return send(connection, tooLarge());
         }
-        *state = new ServerRequest{.method = method, .path = url}; // Deleted in requestCompleted.
+        *state = new IncomingRequest{.request = {.method = method, .path = url}}; // Deleted in requestCompleted.
         return MHD_YES;
     }
-    auto *request = static_cast<ServerRequest *>(*state);
+    auto *incoming = static_cast<IncomingRequest *>(*state);
+    ServerRequest *request = &incoming->request;
     if (*size > 0) {
-        // Only a chunked body gets here with more than the limit; there is no way to answer in the middle of it.
-        if (request->body.size() + *size > server->options().maxBodyBytes) {
-            return MHD_NO;
+        // The rest of a body that is too large is discarded: closing before its end would reset the connection, and the
+        // client could lose the response.
+        incoming->received += *size;
+        if (incoming->received <= server->options().maxBodyBytes) {
+            request->body.append(data, *size);
         }
-        request->body.append(data, *size);
         *size = 0;
-        return MHD_YES;
+        return incoming->received <= MaxDiscardedBytes ? MHD_YES : MHD_NO;
+    }
+    if (incoming->received > server->options().maxBodyBytes) {
+        return send(connection, tooLarge());
     }
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &request->headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectParameter, &request->query);
@@ -94,7 +112,7 @@
 
 void requestCompleted(void * /*context*/, MHD_Connection * /*connection*/, void **state, MHD_RequestTerminationCode /*code*/)
 {
-    delete static_cast<ServerRequest *>(*state);
+    delete static_cast<IncomingRequest *>(*state);
     *state = nullptr;
 }
 
--- a/src/store/curlclient.cpp
+++ b/src/store/curlclient.cpp
@@ -173,7 +173,7 @@
 CurlClient::Handle CurlClient::takeHandle()
 {
     {
-        const absl::MutexLock lock(&m_mutex);
+        const std::lock_guard<std::mutex> lock(m_mutex);
         if (!m_idle.empty()) {
             Handle handle = std::move(m_idle.back());
             m_idle.pop_back();
@@ -185,7 +185,7 @@
 
 void CurlClient::giveBack(Handle handle)
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     if (m_idle.size() < MaxIdleHandles) {
         m_idle.push_back(std::move(handle));
     }
--- a/src/store/curlclient.h
+++ b/src/store/curlclient.h
@@ -2,12 +2,10 @@
 
 #include "store/httpcall.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
-
 #include <curl/curl.h>
 
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -38,8 +36,9 @@
     Handle takeHandle();
     void giveBack(Handle handle);
 
-    absl::Mutex m_mutex;
-    std::vector<Handle> m_idle ABSL_GUARDED_BY(m_mutex);
+    // Guards the members below. ThreadSanitizer does not see the locks of Debian\'s Abseil, so it is a std::mutex.
+    std::mutex m_mutex;
+    std::vector<Handle> m_idle;
 };
 
 } // namespace Filbertmount
--- a/standins/platform/faultswitches.cpp
+++ b/standins/platform/faultswitches.cpp
@@ -4,19 +4,19 @@
 
 void FaultSwitches::set(const Faults &faults)
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     m_faults = faults;
 }
 
 Faults FaultSwitches::faults() const
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     return m_faults;
 }
 
 bool FaultSwitches::takeLostAnswer()
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     if (m_faults.loseAnswers <= 0) {
         return false;
     }
@@ -26,7 +26,7 @@
 
 bool FaultSwitches::takeDroppedCall()
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     if (m_faults.dropCalls <= 0) {
         return false;
     }
@@ -36,19 +36,19 @@
 
 void FaultSwitches::count(const std::string &operation)
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     ++m_counts[operation];
 }
 
 std::map<std::string, std::uint64_t> FaultSwitches::counts() const
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     return m_counts;
 }
 
 void FaultSwitches::resetCounts()
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     m_counts.clear();
 }
 
--- a/standins/platform/faultswitches.h
+++ b/standins/platform/faultswitches.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
-
 #include <cstdint>
 #include <map>
+#include <mutex>
 #include <string>
 
 namespace Filbertmount::StandIn {
@@ -40,9 +38,10 @@
     void resetCounts();
 
 private:
-    mutable absl::Mutex m_mutex;
-    Faults m_faults ABSL_GUARDED_BY(m_mutex);
-    std::map<std::string, std::uint64_t> m_counts ABSL_GUARDED_BY(m_mutex);
+    // Guards the members below. ThreadSanitizer does not see the locks of Debian\'s Abseil, so it is a std::mutex.
+    mutable std::mutex m_mutex;
+    Faults m_faults;
+    std::map<std::string, std::uint64_t> m_counts;
 };
 
 } // namespace Filbertmount::StandIn
--- a/standins/platform/instancetable.cpp
+++ b/standins/platform/instancetable.cpp
@@ -6,13 +6,13 @@
 
 void InstanceTable::set(const std::string &service, std::string list, absl::Duration lag)
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     m_pending[service].push_back({.due = absl::Now() + lag, .list = std::move(list)});
 }
 
 std::string InstanceTable::visible(const std::string &service)
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     std::deque<Change> &pending = m_pending[service];
     while (!pending.empty() && pending.front().due <= absl::Now()) {
         m_visible[service] = std::move(pending.front().list);
--- a/standins/platform/instancetable.h
+++ b/standins/platform/instancetable.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
 #include <deque>
 #include <map>
+#include <mutex>
 #include <string>
 
 namespace Filbertmount::StandIn {
@@ -26,9 +25,10 @@
         std::string list;
     };
 
-    absl::Mutex m_mutex;
-    std::map<std::string, std::string> m_visible ABSL_GUARDED_BY(m_mutex);
-    std::map<std::string, std::deque<Change>> m_pending ABSL_GUARDED_BY(m_mutex);
+    // Guards the members below. ThreadSanitizer does not see the locks of Debian\'s Abseil, so it is a std::mutex.
+    std::mutex m_mutex;
+    std::map<std::string, std::string> m_visible;
+    std::map<std::string, std::deque<Change>> m_pending;
 };
 
 } // namespace Filbertmount::StandIn
--- a/standins/platform/objecttable.cpp
+++ b/standins/platform/objecttable.cpp
@@ -1,19 +1,17 @@
 #include "objecttable.h"
 
-#include <absl/time/clock.h>
-
 namespace Filbertmount::StandIn {
 
 std::optional<StoreObject> ObjectTable::read(const std::string &key) const
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     const auto found = m_objects.find(key);
     return found == m_objects.end() ? std::nullopt : std::optional(found->second);
 }
 
 std::optional<Revision> ObjectTable::update(const std::string &key, const std::string &value, std::optional<Revision> expected)
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     const auto found = m_objects.find(key);
     const Revision current = found == m_objects.end() ? AbsentRevision : found->second.revision;
     if (expected && *expected != current) {
@@ -21,32 +19,32 @@
     }
     const Revision revision(++m_revision);
     m_objects[key] = {.key = key, .value = value, .revision = revision};
-    m_changed.SignalAll();
+    m_changed.notify_all();
     return revision;
 }
 
 StoreListing ObjectTable::changes(const std::string &prefix, Revision after) const
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     return changesLocked(prefix, after);
 }
 
 StoreListing ObjectTable::waitForChanges(const std::string &prefix, Revision after, absl::Duration wait)
 {
-    const absl::Time deadline = absl::Now() + wait;
-    const absl::MutexLock lock(&m_mutex);
-    StoreListing listing = changesLocked(prefix, after);
-    while (listing.objects.empty() && !m_shutDown && !m_changed.WaitWithDeadline(&m_mutex, deadline)) {
+    std::unique_lock<std::mutex> lock(m_mutex);
+    StoreListing listing;
+    m_changed.wait_for(lock, absl::ToChronoNanoseconds(wait), [&]() {
         listing = changesLocked(prefix, after);
-    }
+        return !listing.objects.empty() || m_shutDown;
+    });
     return listing;
 }
 
 void ObjectTable::shutDown()
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     m_shutDown = true;
-    m_changed.SignalAll();
+    m_changed.notify_all();
 }
 
 StoreListing ObjectTable::changesLocked(const std::string &prefix, Revision after) const
--- a/standins/platform/objecttable.h
+++ b/standins/platform/objecttable.h
@@ -2,11 +2,11 @@
 
 #include <filbertmount/store/objectstore.h>
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
+#include <condition_variable>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -31,13 +31,14 @@
     void shutDown();
 
 private:
-    StoreListing changesLocked(const std::string &prefix, Revision after) const ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
-
-    mutable absl::Mutex m_mutex;
-    absl::CondVar m_changed;
-    std::map<std::string, StoreObject> m_objects ABSL_GUARDED_BY(m_mutex);
-    std::uint64_t m_revision ABSL_GUARDED_BY(m_mutex) = 0;
-    bool m_shutDown ABSL_GUARDED_BY(m_mutex) = false;
+    StoreListing changesLocked(const std::string &prefix, Revision after) const;
+
+    // Guards the members below. ThreadSanitizer does not see the locks of Debian\'s Abseil, so it is a std::mutex.
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, StoreObject> m_objects;
+    std::uint64_t m_revision = 0;
+    bool m_shutDown = false;
 };
 
 } // namespace Filbertmount::StandIn
