--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -18,17 +18,13 @@
 constexpr std::size_t RefreshPerMessage = 8;
 // Until its own update has spread, a new member's pings must say where it is, or nobody could answer them.
 constexpr Duration IntroductionTime = std::chrono::seconds(10);
-constexpr int SelfTransmissions = 20;
 // When a whole fleet starts at once, the members that answer joins know few others yet. A new member asks again for
 // the full list while its view differs; with 8 members per message alone, 400 members took 40 s to agree.
 constexpr Duration RejoinTime = std::chrono::seconds(30);
 constexpr Duration RejoinInterval = std::chrono::seconds(2);
 // A longer time between ticks means that this process was frozen; silence of the others meanwhile proves nothing.
 constexpr Duration MaxTickGap = std::chrono::seconds(1);
-constexpr std::size_t MembersPerJoinAnswer = 200;
 constexpr std::size_t LeaveMessages = 10;
-// Bounds the work that other members can cause.
-constexpr std::size_t MaxRelayedPings = 256;
 
 } // namespace
 
@@ -270,147 +266,6 @@
     envelope.add_bodies()->mutable_join_request()->set_nonce(++m_lastNonce);
 }
 
-void MembershipTable::receiveMembers(const Wire::Envelope &envelope, Instant now)
-{
-    const absl::MutexLock lock(&m_mutex);
-    bool changed = false;
-    for (const Wire::MemberUpdate &update : envelope.members()) {
-        const Member statement = memberFromWire(update);
-        if (statement.id == m_self.id) {
-            takeOwnUpdate(statement);
-            continue;
-        }
-        changed = m_members->apply(statement, now, false) || changed;
-    }
-    if (changed) {
-        publish();
-    }
-}
-
-void MembershipTable::takeOwnUpdate(const Member &statement)
-{
-    if (statement.state == MemberState::Alive || m_self.state == MemberState::Left) {
-        return;
-    }
-    if (statement.incarnation >= m_self.incarnation) {
-        m_self.incarnation = Incarnation(statement.incarnation.value() + 1);
-        ++m_counts.refutations;
-        publish();
-    }
-    // Also when the statement is outdated: its sender has not heard of the refutation yet.
-    m_selfTransmissions = SelfTransmissions;
-}
-
-PeerOutbox MembershipTable::receive(const InstanceId &from, const Wire::Body &body, Instant now)
-{
-    const absl::MutexLock lock(&m_mutex);
-    PeerOutbox outbox;
-    if (m_self.state == MemberState::Left) {
-        return outbox;
-    }
-    switch (body.kind_case()) {
-    case Wire::Body::kPing:
-        receivePing(from, body.ping(), outbox);
-        break;
-    case Wire::Body::kAck:
-        receiveAck(from, body.ack(), outbox);
-        break;
-    case Wire::Body::kIndirectPing:
-        receiveIndirectPing(from, body.indirect_ping(), now, outbox);
-        break;
-    case Wire::Body::kJoinRequest:
-        answerJoin(from, body.join_request(), outbox);
-        break;
-    default:
-        break;
-    }
-    return outbox;
-}
-
-void MembershipTable::receivePing(const InstanceId &from, const Wire::Ping &ping, PeerOutbox &outbox)
-{
-    const MemberRegister::Entry *entry = m_members->find(from);
-    if (entry == nullptr || entry->member.peerAddress.empty()) {
-        return;
-    }
-    m_refreshNext = m_refreshNext || ping.members_hash() != viewHash();
-    Wire::Envelope &envelope = *addMessage(from, outbox);
-    // The sender refutes a wrong suspicion only when it hears of it.
-    if (entry->member.state != MemberState::Alive) {
-        addMember(envelope, entry->member);
-    }
-    Wire::Ack &ack = *envelope.add_bodies()->mutable_ack();
-    ack.set_nonce(ping.nonce());
-    ack.set_members_hash(viewHash());
-}
-
-void MembershipTable::receiveAck(const InstanceId &from, const Wire::Ack &ack, PeerOutbox &outbox)
-{
-    // A relayed answer comes from the relay; a direct one must come from the member itself, since a restarted process
-    // at the same address answers too.
-    const auto answered = [&](const Probe &probe) {
-        return probe.nonce == ack.nonce() && (probe.target == from || probe.indirect);
-    };
-    m_probes.erase(std::remove_if(m_probes.begin(), m_probes.end(), answered), m_probes.end());
-    if (ack.members_hash() != 0) {
-        m_viewDiffers = ack.members_hash() != viewHash();
-        m_refreshNext = m_refreshNext || m_viewDiffers;
-    }
-    const auto relayed = std::find_if(m_relayed.begin(), m_relayed.end(), [&](const RelayedPing &ping) {
-        return ping.nonce == ack.nonce() && ping.target == from;
-    });
-    if (relayed == m_relayed.end()) {
-        return;
-    }
-    const RelayedPing ping = *relayed;
-    m_relayed.erase(relayed);
-    if (m_members->find(ping.requester) != nullptr) {
-        addMessage(ping.requester, outbox)->add_bodies()->mutable_ack()->set_nonce(ping.requesterNonce);
-    }
-}
-
-void MembershipTable::receiveIndirectPing(const InstanceId &from,
-                                          const Wire::IndirectPing &request,
-                                          Instant now,
-                                          PeerOutbox &outbox)
-{
-    const InstanceId target(request.target());
-    const MemberRegister::Entry *entry = m_members->find(target);
-    if (entry == nullptr || entry->member.peerAddress.empty()) {
-        return;
-    }
-    m_relayed.erase(std::remove_if(m_relayed.begin(),
-                                   m_relayed.end(),
-                                   [&](const RelayedPing &ping) {
-                                       return now - ping.sentAt >= 2 * m_options.pingTimeout;
-                                   }),
-                    m_relayed.end());
-    if (m_relayed.size() >= MaxRelayedPings) {
-        return;
-    }
-    m_relayed.push_back(
-        {.nonce = ++m_lastNonce, .target = target, .requester = from, .requesterNonce = request.nonce(), .sentAt = now});
-    sendPing(target, m_lastNonce, outbox);
-}
-
-void MembershipTable::answerJoin(const InstanceId &from, const Wire::JoinRequest &join, PeerOutbox &outbox)
-{
-    const MemberRegister::Entry *entry = m_members->find(from);
-    if (entry == nullptr || entry->member.peerAddress.empty()) {
-        return;
-    }
-    const std::vector<InstanceId> live = m_members->liveIds();
-    std::size_t sent = 0;
-    do {
-        Wire::Envelope &envelope = *addMessage(from, outbox);
-        addMember(envelope, m_self);
-        for (std::size_t count = 0; count < MembersPerJoinAnswer && sent < live.size(); ++count, ++sent) {
-            addMember(envelope, m_members->find(live[sent])->member);
-        }
-        envelope.add_bodies()->mutable_ack()->set_nonce(join.nonce());
-    } while (sent < live.size());
-}
-
 PeerOutbox MembershipTable::leave()
 {
     const absl::MutexLock lock(&m_mutex);
--- a/tests/notices/noticeboardtest.cpp
+++ b/tests/notices/noticeboardtest.cpp
@@ -14,6 +14,7 @@
 std::vector<ListedInstance> rows(int count, std::uint64_t incarnation = 1)
 {
     std::vector<ListedInstance> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         result.push_back({.id = "u" + std::to_string(index), .address = "", .zone = {}, .incarnation = Incarnation(incarnation)});
     }
