Add quarantine to the fault matrix; keep active claim shards in the cache

Withdrawing now leads to a step of the writer, and the cache keeps active shards.

The quarantine cells showed that one confused peer together with one real crash quarantined a popular request. What succeeded here lately is now quarantined only if the strikes are in sequence without those of any single peer.

--- a/include/filbertmount/quarantine/crashquarantine.h
+++ b/include/filbertmount/quarantine/crashquarantine.h
@@ -127,6 +127,10 @@
 
     void strike(const ServiceName &service, const CrashFingerprint &fingerprint, const Strike &strike);
     void judge(const CrashFingerprint &fingerprint, Suspect &suspect, Instant now);
+    /** Returns whether a run under suspicion broke on another upstream than an earlier run, strikes of @p without left out. */
+    static bool inSequence(const std::vector<Strike> &strikes, const InstanceId &without);
+    /** Returns whether the strikes are in sequence without those of any single peer, which may be confused. */
+    [[nodiscard]] bool withstandsAnyPeer(const std::vector<Strike> &strikes) const;
     void endRun(const CrashTicket &ticket, Instant now);
     void runNext(const CrashFingerprint &fingerprint, Suspect &suspect);
     void clear(const CrashFingerprint &fingerprint);
--- a/src/claims/claimcoordinator.cpp
+++ b/src/claims/claimcoordinator.cpp
@@ -279,7 +279,7 @@
     const Duration keep = cached > m_options.maxCachedClaims ? SweepInterval : m_options.shardIdle;
     std::erase_if(m_shards, [&](const auto &entry) {
         const ShardWriter &writer = entry.second->writer;
-        return writer.idle() && now - writer.lastUse() > keep;
+        return writer.idle() && m_active.count(entry.first) == 0 && now - writer.lastUse() > keep;
     });
 }
 
--- a/src/claims/claimcoordinatorpeers.cpp
+++ b/src/claims/claimcoordinatorpeers.cpp
@@ -123,7 +123,10 @@
         return;
     }
     m_waiting.erase(claim.operation);
-    shard(claimShardObject(claim.id.service, claim.id.key)).writer.withdraw(claim.operation);
+    const std::string object = claimShardObject(claim.id.service, claim.id.key);
+    shard(object).writer.withdraw(claim.operation);
+    // The writer may have no work left; its next step takes it off the active shards.
+    m_dirty.insert(object);
 }
 
 } // namespace Filbertmount
--- a/src/quarantine/crashquarantine.cpp
+++ b/src/quarantine/crashquarantine.cpp
@@ -143,23 +143,34 @@
 
 void CrashQuarantine::judge(const CrashFingerprint &fingerprint, Suspect &suspect, Instant now)
 {
-    const std::vector<Strike> &strikes = suspect.strikes;
-    const bool inSequence = std::any_of(strikes.begin(), strikes.end(), [&](const Strike &later) {
-        return later.underSuspicion && std::any_of(strikes.begin(), strikes.end(), [&](const Strike &earlier) {
-                   return earlier.upstream != later.upstream;
-               });
-    });
-    const bool severalOrigins = std::any_of(strikes.begin(), strikes.end(), [&](const Strike &strike) {
-        return strike.origin != strikes.front().origin;
-    });
-    const bool onePeerAlone = !severalOrigins && strikes.front().origin != m_self;
-    if (!inSequence || (onePeerAlone && succeededLately(fingerprint, now))) {
+    const bool believed =
+        succeededLately(fingerprint, now) ? withstandsAnyPeer(suspect.strikes) : inSequence(suspect.strikes, {});
+    if (!believed) {
         return;
     }
     suspect.quarantinedUntil = now + m_options.memory;
     answerAll(fingerprint, suspect, CrashAdmission::Quarantined);
 }
 
+bool CrashQuarantine::inSequence(const std::vector<Strike> &strikes, const InstanceId &without)
+{
+    const auto counts = [&without](const Strike &strike) {
+        return without.empty() || strike.origin != without;
+    };
+    return std::any_of(strikes.begin(), strikes.end(), [&](const Strike &later) {
+        return later.underSuspicion && counts(later) && std::any_of(strikes.begin(), strikes.end(), [&](const Strike &earlier) {
+                   return counts(earlier) && earlier.upstream != later.upstream;
+               });
+    });
+}
+
+bool CrashQuarantine::withstandsAnyPeer(const std::vector<Strike> &strikes) const
+{
+    return inSequence(strikes, {}) && std::all_of(strikes.begin(), strikes.end(), [&](const Strike &strike) {
+               return strike.origin == m_self || inSequence(strikes, strike.origin);
+           });
+}
+
 void CrashQuarantine::endRun(const CrashTicket &ticket, Instant now)
 {
     const auto found = m_suspects.find(ticket.fingerprint);
--- /dev/null
+++ b/tests/support/faults/quarantineworld.h
@@ -0,0 +1,418 @@
+#pragma once
+
+#include "faulttable.h"
+#include "simulation.h"
+
+#include <filbertmount/quarantine/crashquarantine.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace Filbertmount::Testing {
+
+enum class QuarantineFault : std::uint8_t {
+    None,
+    Kill,
+    Freeze,
+    CutOut,
+    CutIn,
+    CutBoth,
+    SlowPeers,
+    Duplicate,
+    Reorder,
+    ClockStep,
+    /** The instance claims strikes of requests that do no harm. */
+    ConfusedPeer,
+};
+inline constexpr std::array<const char *, 11> QuarantineFaultNames = {"none",
+                                                                      "kill",
+                                                                      "freeze",
+                                                                      "cut-out",
+                                                                      "cut-in",
+                                                                      "cut-both",
+                                                                      "slow-peers",
+                                                                      "duplicate",
+                                                                      "reorder",
+                                                                      "clock-step",
+                                                                      "confused-peer"};
+
+enum class QuarantineStep : std::uint8_t {
+    Admitted,
+    Broken,
+    StrikeSent,
+    StrikeReceived,
+};
+inline constexpr std::array<const char *, 4> QuarantineStepNames = {"admitted", "broken", "strike-sent", "strike-received"};
+
+struct QuarantineStrike {
+    QuarantineFault fault = QuarantineFault::None;
+    QuarantineStep step = QuarantineStep::Admitted;
+};
+
+/** Rules that a test breaks on purpose. */
+enum class QuarantineBreach : std::uint8_t {
+    None,
+    /** Quarantined requests are run. */
+    RunQuarantined,
+    /** Strikes of peers are dropped on receipt. */
+    IgnorePeers,
+    /** Successes are not reported to the quarantine. */
+    ForgetSuccess,
+};
+
+/** Instances that resend one crashing request in turn among popular requests that do no harm. */
+class QuarantineWorld
+{
+public:
+    QuarantineWorld(std::uint64_t seed, const std::vector<QuarantineStrike> &strikes, QuarantineBreach breach, bool tracing)
+        : m_simulation(seed, tracing)
+        , m_breach(breach)
+    {
+        for (const QuarantineStrike &strike : strikes) {
+            m_strikes.push_back({.strike = strike, .countdown = 1 + m_simulation.below(2)});
+        }
+        for (std::size_t index = 0; index < Instances; ++index) {
+            const InstanceId id("entry-" + std::to_string(index));
+            m_simulation.addProcess(id.value());
+            m_nodes.push_back(std::make_unique<Node>(id));
+        }
+    }
+
+    CellResult run()
+    {
+        for (int request = 0; request < Innocents * 200; ++request) {
+            m_simulation.after(std::chrono::milliseconds(10 * request / Innocents), [this, request] {
+                send("/popular-" + std::to_string(request % Innocents));
+            });
+        }
+        m_simulation.after(std::chrono::milliseconds(300), [this] {
+            sendCrashing(0);
+        });
+        m_simulation.runUntil(Instant(End));
+        check();
+        const bool covered = std::all_of(m_strikes.begin(), m_strikes.end(), [](const Armed &armed) {
+            return armed.strike.fault == QuarantineFault::None || armed.countdown == 0;
+        });
+        return {.covered = covered, .broken = m_broken, .trace = m_simulation.traceText()};
+    }
+
+private:
+    static constexpr std::size_t Instances = 6;
+    static constexpr std::size_t Upstreams = 12;
+    static constexpr int Innocents = 3;
+    static constexpr int Resends = 40;
+    static constexpr std::size_t CrashLimit = 2;
+    static constexpr Duration RunTime = std::chrono::milliseconds(4);
+    static constexpr Duration End = std::chrono::seconds(20);
+    static constexpr const char *Crashing = "/crash";
+
+    struct Node {
+        explicit Node(const InstanceId &self)
+            : id(self)
+            , quarantine(self, {})
+        {
+        }
+        InstanceId id;
+        CrashQuarantine quarantine;
+        Duration clockOffset{0};
+        bool cutIn = false;
+        bool cutOut = false;
+        bool duplicate = false;
+        bool confused = false;
+        Duration jitter{0};
+        Duration delay{0};
+        /** Strikes of the crashing request that reached this instance, its own included. */
+        std::size_t known = 0;
+    };
+    struct Attempt {
+        std::string target;
+        std::size_t instance = 0;
+        std::size_t upstream = 0;
+        CrashTicket ticket;
+        bool ended = false;
+        /** The instance had not heard of all strikes when the run started. */
+        bool uninformed = false;
+    };
+    struct Armed {
+        QuarantineStrike strike;
+        std::size_t countdown = 1;
+    };
+
+    Instant localNow(const Node &node) const
+    {
+        return m_simulation.now() + node.clockOffset;
+    }
+    void fail(const std::string &text)
+    {
+        m_simulation.trace("BROKEN: " + text);
+        m_broken = m_broken.empty() ? text : m_broken;
+    }
+    void sendCrashing(int resend)
+    {
+        if (resend < Resends) {
+            send(Crashing);
+            m_simulation.after(m_simulation.between(std::chrono::milliseconds(10), std::chrono::milliseconds(300)),
+                               [this, resend] {
+                                   sendCrashing(resend + 1);
+                               });
+        }
+    }
+    void send(const std::string &target)
+    {
+        const std::size_t number = m_attempts.size();
+        const std::size_t instance = m_simulation.below(Instances);
+        m_attempts.push_back({.target = target, .instance = instance, .upstream = m_simulation.below(Upstreams)});
+        m_simulation.deliver(instance, std::chrono::microseconds(200), [this, number] {
+            admit(number);
+        });
+    }
+    void admit(std::size_t number)
+    {
+        const Attempt &attempt = m_attempts[number];
+        Node &node = *m_nodes[attempt.instance];
+        const CrashFingerprint fingerprint = crashFingerprint(ServiceName("shop"), "GET", attempt.target, "");
+        decided(number, node.quarantine.admit(RequestId(number), ServiceName("shop"), fingerprint, localNow(node)));
+    }
+    void decided(std::size_t number, CrashDecision decision)
+    {
+        Attempt &attempt = m_attempts[number];
+        if (decision.admission == CrashAdmission::Wait) {
+            return;
+        }
+        if (decision.admission != CrashAdmission::Run) {
+            m_simulation.trace(attempt.instance, attempt.target + " is refused");
+            refused(attempt);
+            if (m_breach != QuarantineBreach::RunQuarantined) {
+                return;
+            }
+        }
+        attempt.ticket = decision.ticket;
+        attempt.uninformed = m_nodes[attempt.instance]->known < m_crashed.size();
+        if (attempt.target == Crashing) {
+            m_simulation.trace(attempt.instance,
+                               "runs the crashing request" + std::string(attempt.uninformed ? ", uninformed" : ""));
+            reached(QuarantineStep::Admitted, attempt.instance);
+        }
+        m_simulation.after(m_simulation.between(RunTime / 2, RunTime * 2), [this, number] {
+            runs(number);
+        });
+    }
+    void refused(const Attempt &attempt)
+    {
+        if (attempt.target != Crashing && m_brokenInnocents[attempt.target] < 2) {
+            fail(attempt.target + " was refused, although it has not broken twice");
+        }
+    }
+    void runs(std::size_t number)
+    {
+        Attempt &attempt = m_attempts[number];
+        if (attempt.ended) {
+            return;
+        }
+        if (attempt.target != Crashing) {
+            attempt.ended = true;
+            m_simulation.deliver(attempt.instance, std::chrono::microseconds(200), [this, number] {
+                succeeded(number);
+            });
+            return;
+        }
+        m_crashed.push_back(attempt.upstream);
+        if (!attempt.uninformed) {
+            m_informedUpstreams.insert(attempt.upstream);
+        }
+        m_simulation.trace("upstream " + std::to_string(attempt.upstream) + " CRASHES");
+        // All that the upstream runs breaks with it.
+        for (std::size_t other = 0; other < m_attempts.size(); ++other) {
+            Attempt &victim = m_attempts[other];
+            const bool hit = victim.upstream == attempt.upstream && !victim.ended && !victim.ticket.service.empty();
+            if (hit) {
+                victim.ended = true;
+                m_brokenInnocents[victim.target] += 1;
+                m_simulation.deliver(victim.instance, std::chrono::microseconds(200), [this, other] {
+                    broke(other);
+                });
+            }
+        }
+    }
+    void succeeded(std::size_t number)
+    {
+        const Attempt &attempt = m_attempts[number];
+        Node &node = *m_nodes[attempt.instance];
+        if (m_breach == QuarantineBreach::ForgetSuccess) {
+            node.quarantine.ended(attempt.ticket, localNow(node));
+        } else {
+            node.quarantine.succeeded(attempt.ticket, localNow(node));
+        }
+        flush(attempt.instance);
+    }
+    void broke(std::size_t number)
+    {
+        const Attempt attempt = m_attempts[number];
+        Node &node = *m_nodes[attempt.instance];
+        node.known += attempt.target == Crashing ? 1 : 0;
+        node.quarantine.broken(attempt.ticket, UpstreamId("u" + std::to_string(attempt.upstream)), localNow(node));
+        if (attempt.target == Crashing) {
+            reached(QuarantineStep::Broken, attempt.instance);
+        }
+        flush(attempt.instance);
+    }
+
+    void flush(std::size_t instance)
+    {
+        Node &node = *m_nodes[instance];
+        for (const CrashDecision &decision : node.quarantine.takeDecisions()) {
+            decided(decision.request.value(), decision);
+        }
+        for (const Wire::CrashStrike &message : node.quarantine.takeMessages()) {
+            broadcast(instance, message);
+        }
+    }
+    void broadcast(std::size_t from, const Wire::CrashStrike &message)
+    {
+        const Node &sender = *m_nodes[from];
+        for (std::size_t to = 0; to < Instances; ++to) {
+            if (to == from || sender.cutOut || m_nodes[to]->cutIn || !m_simulation.alive(from)) {
+                continue;
+            }
+            for (int copy = 0; copy < (sender.duplicate ? 2 : 1); ++copy) {
+                Duration delay = std::chrono::microseconds(500) + sender.delay + m_simulation.between(Duration(0), sender.jitter);
+                delay += copy * std::chrono::seconds(1);
+                m_simulation.deliver(to, delay, [this, from, to, copy, message] {
+                    arrive(from, to, message, copy > 0);
+                });
+            }
+        }
+        if (isCrashing(message)) {
+            reached(QuarantineStep::StrikeSent, from);
+        }
+    }
+    static bool isCrashing(const Wire::CrashStrike &message)
+    {
+        const CrashFingerprint crashing = crashFingerprint(ServiceName("shop"), "GET", Crashing, "");
+        return !message.cleared()
+            && std::equal(crashing.begin(), crashing.end(), message.fingerprint().begin(), [](auto left, auto right) {
+                   return left == static_cast<std::uint8_t>(right);
+               });
+    }
+    void arrive(std::size_t from, std::size_t to, const Wire::CrashStrike &message, bool again)
+    {
+        Node &node = *m_nodes[to];
+        if (isCrashing(message)) {
+            // The sequence numbers of a confused peer are as wrong as its strikes, so its later strikes may be dropped.
+            node.known += again || m_nodes[from]->confused ? 0 : 1;
+            reached(QuarantineStep::StrikeReceived, to);
+        }
+        if (m_breach != QuarantineBreach::IgnorePeers) {
+            node.quarantine.receive(m_nodes[from]->id, message, localNow(node));
+        }
+        flush(to);
+    }
+
+    void reached(QuarantineStep step, std::size_t instance)
+    {
+        for (Armed &armed : m_strikes) {
+            if (armed.countdown > 0 && armed.strike.step == step && --armed.countdown == 0) {
+                strike(armed.strike.fault, instance);
+            }
+        }
+    }
+    void strike(QuarantineFault fault, std::size_t instance)
+    {
+        m_simulation.trace(instance, std::string("FAULT ") + QuarantineFaultNames.at(static_cast<std::size_t>(fault)));
+        Node &node = *m_nodes[instance];
+        switch (fault) {
+        case QuarantineFault::None:
+            return;
+        case QuarantineFault::Kill:
+            m_simulation.kill(instance);
+            return;
+        case QuarantineFault::Freeze:
+            m_simulation.freeze(instance, m_simulation.between(std::chrono::milliseconds(20), std::chrono::seconds(3)));
+            return;
+        case QuarantineFault::CutOut:
+            node.cutOut = true;
+            break;
+        case QuarantineFault::CutIn:
+            node.cutIn = true;
+            break;
+        case QuarantineFault::CutBoth:
+            node.cutOut = node.cutIn = true;
+            break;
+        case QuarantineFault::SlowPeers:
+            node.delay = std::chrono::milliseconds(700);
+            break;
+        case QuarantineFault::Duplicate:
+            node.duplicate = true;
+            break;
+        case QuarantineFault::Reorder:
+            node.jitter = std::chrono::milliseconds(200);
+            break;
+        case QuarantineFault::ClockStep:
+            node.clockOffset += std::chrono::seconds(5);
+            return;
+        case QuarantineFault::ConfusedPeer:
+            confuse(instance);
+            return;
+        }
+        m_simulation.after(m_simulation.between(std::chrono::milliseconds(100), std::chrono::seconds(3)), [this, instance] {
+            Node &healed = *m_nodes[instance];
+            healed.cutIn = healed.cutOut = healed.duplicate = false;
+            healed.delay = healed.jitter = Duration(0);
+        });
+    }
+    void confuse(std::size_t instance)
+    {
+        m_nodes[instance]->confused = true;
+        for (std::uint64_t number = 0; number < 20; ++number) {
+            const CrashFingerprint popular =
+                crashFingerprint(ServiceName("shop"), "GET", "/popular-" + std::to_string(number % Innocents), "");
+            Wire::CrashStrike message;
+            message.set_service("shop");
+            message.set_fingerprint(popular.data(), popular.size());
+            message.set_upstream("u" + std::to_string(number));
+            message.set_origin(m_nodes[instance]->id.value());
+            message.set_sequence(1000 + number);
+            message.set_under_suspicion(true);
+            broadcast(instance, message);
+        }
+    }
+    void check()
+    {
+        if (m_informedUpstreams.size() > CrashLimit) {
+            fail(std::to_string(m_informedUpstreams.size()) + " upstreams were crashed by instances that knew of every crash");
+        }
+        const bool faulty = std::any_of(m_strikes.begin(), m_strikes.end(), [](const Armed &armed) {
+            return armed.strike.fault != QuarantineFault::None;
+        });
+        const std::set<std::size_t> crashed(m_crashed.begin(), m_crashed.end());
+        // Without faults only a run that is under way while the first strike spreads may add one.
+        const std::size_t limit = faulty ? CrashLimit * Instances : CrashLimit + 1;
+        if (crashed.size() > limit) {
+            fail(std::to_string(crashed.size()) + " upstreams crashed");
+        }
+    }
+
+    Simulation m_simulation;
+    QuarantineBreach m_breach;
+    std::vector<Armed> m_strikes;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<Attempt> m_attempts;
+    std::vector<std::size_t> m_crashed;
+    std::map<std::string, int> m_brokenInnocents;
+    /** Upstreams that were crashed by runs of instances that had heard of every crash before. */
+    std::set<std::size_t> m_informedUpstreams;
+    std::string m_broken;
+};
+
+inline CellResult runQuarantineCell(std::uint64_t seed,
+                                    const std::vector<QuarantineStrike> &strikes,
+                                    QuarantineBreach breach = QuarantineBreach::None)
+{
+    const CellResult result = QuarantineWorld(seed, strikes, breach, false).run();
+    return result.broken.empty() ? result : QuarantineWorld(seed, strikes, breach, true).run();
+}
+
+} // namespace Filbertmount::Testing
