Take the settings of the policy benchmark from the example documents

Cause: the benchmark had its own copy of the documents' settings, with another budget for catalogue's hedges and other deadlines.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -24,7 +24,7 @@
     double load = 0;
 };
 
-nlohmann::json toJson(const Trace &trace, const Result &result)
+nlohmann::json toJson(const Trace &trace, const RunResult &result)
 {
     return {{"service", trace.profile.name},
             {"load", trace.load},
@@ -58,7 +58,7 @@
                 "goodput");
 }
 
-void printRow(const Trace &trace, const Result &result)
+void printRow(const Trace &trace, const RunResult &result)
 {
     const std::string name = result.policy + (result.policy == PolicyInForce ? " *" : "");
     std::printf("%-13s %3.0f%% %-18s %8.2f %8.2f %8.2f %7.3f%% %7.3f %7.0f %8.2f%% %6.0f%% %7.3f%%\n",
@@ -83,7 +83,7 @@
             continue;
         }
         const Trace trace = makeTrace(profile, {.load = load, .seed = options.seed, .length = options.length});
-        for (const Result &result : AllPolicies::run(trace)) {
+        for (const RunResult &result : AllPolicies::run(trace)) {
             if (options.isJson) {
                 std::cout << toJson(trace, result) << '\n';
             } else {
@@ -96,7 +96,7 @@
 void printFault(const char *name, const Trace &trace, const InstanceFault &fault)
 {
     Simulation<LateBinding> simulation(trace, fault);
-    const Result result = simulation.run();
+    const RunResult result = simulation.run();
     std::printf("%-13s %-13s %8.2f %8.2f %8.2f %7.3f%% %12llu %12llu %12llu\n",
                 trace.profile.name.c_str(),
                 name,
@@ -125,7 +125,7 @@
 template<class Policy>
 void printRecovery(const Trace &trace)
 {
-    const Result result = Simulation<Policy>(trace).run();
+    const RunResult result = Simulation<Policy>(trace).run();
     std::printf("%-13s %-18s", trace.profile.name.c_str(), Policy::Name);
     for (std::size_t interval = 16; interval < std::min<std::size_t>(result.goodput.size(), 40); interval += 2) {
         std::printf(" %5llu", static_cast<unsigned long long>(result.goodput[interval] + result.goodput[interval + 1]));
--- a/bench/policysim/bound.h
+++ b/bench/policysim/bound.h
@@ -26,7 +26,7 @@
     {
     }
 
-    Result run()
+    RunResult run()
     {
         refreshSpeeds();
         while (m_nextArrival < m_trace.arrivals.size() || !m_jobs.empty()) {
@@ -38,7 +38,7 @@
                 refreshSpeeds();
             }
         }
-        Result result{
+        RunResult result{
             .policy = "bound", .requests = m_trace.arrivals.size(), .missed = m_missed, .goodput = std::move(m_goodput)};
         setQuantiles(result, m_latencies);
         return result;
@@ -87,7 +87,7 @@
             ++m_missed;
             return;
         }
-        const auto interval = static_cast<std::size_t>(time / Result::GoodputInterval);
+        const auto interval = static_cast<std::size_t>(time / RunResult::GoodputInterval);
         m_goodput.resize(std::max(m_goodput.size(), interval + 1));
         ++m_goodput[interval];
     }
@@ -156,12 +156,12 @@
  * A bound for every policy: the best value of each measure over ideal queues of several capacities. Under overload a
  * short queue has the lower percentiles and a long one misses fewer deadlines, so one capacity alone can be beaten.
  */
-inline Result runBound(const Trace &trace)
+inline RunResult runBound(const Trace &trace)
 {
     const auto slots = static_cast<std::size_t>(trace.profile.upstreams * trace.profile.slots);
-    Result best = IdealQueue(trace, std::numeric_limits<std::size_t>::max()).run();
+    RunResult best = IdealQueue(trace, std::numeric_limits<std::size_t>::max()).run();
     for (const std::size_t multiple : {2, 3, 4, 6, 8, 12, 16, 24, 32}) {
-        const Result other = IdealQueue(trace, slots * multiple).run();
+        const RunResult other = IdealQueue(trace, slots * multiple).run();
         best.p50Ms = std::min(best.p50Ms, other.p50Ms);
         best.p99Ms = std::min(best.p99Ms, other.p99Ms);
         best.p999Ms = std::min(best.p999Ms, other.p999Ms);
--- a/bench/policysim/profile.h
+++ b/bench/policysim/profile.h
@@ -1,8 +1,15 @@
 #pragma once
 
+#include <filbertmount/document/parseservicedocument.h>
 #include <filbertmount/routing/router.h>
 
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
 #include <array>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
 #include <string>
 
 namespace Filbertmount::PolicySim {
@@ -22,51 +29,53 @@
     Duration deadline = std::chrono::seconds(1);
     /** Measuring budget of the document in percent of slot time. */
     double measuringPercent = 1.0;
-    /** The queue holds what the service can answer within the deadline. */
     ServiceRouting routing;
 };
 
 inline constexpr int EntryInstances = 14;
 
-/** The four services of the design page with the settings of their documents. */
+/** Reads examples/<name>.toml; the position of this source file gives its path. */
+inline ServiceDocument readDocument(const std::string &name)
+{
+    const std::string source = __FILE__;
+    const std::string path = source.substr(0, source.rfind("bench/policysim/")) + "examples/" + name + ".toml";
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return boost::leaf::try_handle_all(
+        [&] {
+            return parseServiceDocument(text.str(), path);
+        },
+        [&]() -> ServiceDocument {
+            throw std::runtime_error("service document " + path + " is missing or not valid");
+        });
+}
+
+/** Takes slots, cold start, budgets and queue from the document, and the deadline of its first GET route. */
+inline ServiceProfile withDocument(ServiceProfile profile)
+{
+    const ServiceDocument document = readDocument(profile.name);
+    profile.slots = document.upstreams.slots;
+    profile.measuringPercent = document.measuring.budgetPercent;
+    profile.routing = routingOf(document);
+    const auto get = std::find_if(document.routes.begin(), document.routes.end(), [](const Route &route) {
+        return route.method == "GET";
+    });
+    profile.deadline = get->deadline;
+    profile.patientShare = get->priority == Priority::Patient ? 1 : 0;
+    return profile;
+}
+
+/** The four services of the design page with the settings of their example documents. */
 inline std::array<ServiceProfile, 4> serviceProfiles()
 {
     using std::chrono::milliseconds;
     return {
-        ServiceProfile{.name = "shopfront",
-                       .upstreams = 10,
-                       .slots = 2,
-                       .zones = 4,
-                       .meanDemand = milliseconds(20),
-                       .repeatableShare = 0.8,
-                       .deadline = milliseconds(1000),
-                       .routing = {.limits = {.queue = 800}}},
-        ServiceProfile{.name = "workshop",
-                       .upstreams = 15,
-                       .slots = 2,
-                       .zones = 4,
-                       .meanDemand = milliseconds(30),
-                       .repeatableShare = 0.5,
-                       .deadline = milliseconds(1500),
-                       .routing = {.limits = {.queue = 1200}}},
-        ServiceProfile{.name = "fitting-bench",
-                       .upstreams = 10,
-                       .slots = 4,
-                       .zones = 3,
-                       .meanDemand = milliseconds(25),
-                       .repeatableShare = 0.6,
-                       .deadline = milliseconds(1250),
-                       .routing = {.limits = {.queue = 1500}}},
-        ServiceProfile{.name = "catalogue",
-                       .upstreams = 12,
-                       .slots = 4,
-                       .zones = 3,
-                       .meanDemand = milliseconds(40),
-                       .repeatableShare = 0.95,
-                       .patientShare = 1.0,
-                       .deadline = milliseconds(3000),
-                       .measuringPercent = 0.5,
-                       .routing = {.hedging = {.budgetPercent = 1.0}, .limits = {.queue = 3000}}},
+        withDocument({.name = "shopfront", .upstreams = 10, .zones = 4, .meanDemand = milliseconds(20), .repeatableShare = 0.8}),
+        withDocument({.name = "workshop", .upstreams = 15, .zones = 4, .meanDemand = milliseconds(30), .repeatableShare = 0.5}),
+        withDocument(
+            {.name = "fitting-bench", .upstreams = 10, .zones = 3, .meanDemand = milliseconds(25), .repeatableShare = 0.6}),
+        withDocument({.name = "catalogue", .upstreams = 12, .zones = 3, .meanDemand = milliseconds(40), .repeatableShare = 0.95}),
     };
 }
 
--- a/bench/policysim/result.h
+++ b/bench/policysim/result.h
@@ -19,7 +19,7 @@
 };
 
 /** Outcome of one run. A request that was refused or missed its deadline counts with the whole deadline. */
-struct Result {
+struct RunResult {
     std::string policy;
     std::uint64_t requests = 0;
     std::uint64_t missed = 0;
@@ -60,7 +60,7 @@
     return static_cast<double>(latencies[position]) / 1e6;
 }
 
-inline void setQuantiles(Result &result, std::vector<Ticks> &latencies)
+inline void setQuantiles(RunResult &result, std::vector<Ticks> &latencies)
 {
     result.p50Ms = quantileMs(latencies, 0.5);
     result.p99Ms = quantileMs(latencies, 0.99);
--- a/bench/policysim/runs.h
+++ b/bench/policysim/runs.h
@@ -12,9 +12,9 @@
 template<class... Policies>
 struct PolicyList {
     /** Runs every policy on the same trace. */
-    static std::vector<Result> run(const Trace &trace)
+    static std::vector<RunResult> run(const Trace &trace)
     {
-        std::vector<Result> results;
+        std::vector<RunResult> results;
         (results.push_back(Simulation<Policies>(trace).run()), ...);
         results.push_back(runBound(trace));
         return results;
--- a/bench/policysim/simulation.h
+++ b/bench/policysim/simulation.h
@@ -37,17 +37,17 @@
         planDeath();
     }
 
-    Result run()
+    RunResult run()
     {
         m_fabric.loop.run(m_trace.length + 2 * m_trace.profile.deadline.count());
-        Result result{.policy = Policy::Name,
-                      .requests = m_trace.arrivals.size() - m_lost,
-                      .missed = m_missed,
-                      .goodput = std::move(m_goodput),
-                      .repeatedUnsafely = m_repeatedUnsafely,
-                      .ownChoices = m_fabric.ownChoices,
-                      .hedges = m_hedges,
-                      .retries = m_retries};
+        RunResult result{.policy = Policy::Name,
+                         .requests = m_trace.arrivals.size() - m_lost,
+                         .missed = m_missed,
+                         .goodput = std::move(m_goodput),
+                         .repeatedUnsafely = m_repeatedUnsafely,
+                         .ownChoices = m_fabric.ownChoices,
+                         .hedges = m_hedges,
+                         .retries = m_retries};
         setQuantiles(result, m_latencies);
         const auto requests = static_cast<double>(m_trace.arrivals.size());
         const double slotTime = static_cast<double>(m_trace.length) * m_trace.profile.upstreams * m_trace.profile.slots;
@@ -334,7 +334,7 @@
     {
         const Ticks latency = m_fabric.loop.now() - m_trace.arrivals[number].at;
         m_latencies.push_back(latency);
-        const auto interval = static_cast<std::size_t>(m_fabric.loop.now() / Result::GoodputInterval);
+        const auto interval = static_cast<std::size_t>(m_fabric.loop.now() / RunResult::GoodputInterval);
         m_goodput.resize(std::max(m_goodput.size(), interval + 1));
         ++m_goodput[interval];
         end(number, AttemptOutcome::Cancelled);
--- a/tests/routing/policytabletest.cpp
+++ b/tests/routing/policytabletest.cpp
@@ -13,11 +13,11 @@
 
 constexpr Ticks Second = 1'000'000'000;
 
-std::map<std::string, Result> runAll(const ServiceProfile &profile, double load)
+std::map<std::string, RunResult> runAll(const ServiceProfile &profile, double load)
 {
-    std::map<std::string, Result> results;
+    std::map<std::string, RunResult> results;
     const Trace trace = makeTrace(profile, {.load = load, .seed = 1, .length = 20 * Second});
-    for (Result &result : AllPolicies::run(trace)) {
+    for (RunResult &result : AllPolicies::run(trace)) {
         results[result.policy] = std::move(result);
     }
     return results;
@@ -29,8 +29,8 @@
 {
     for (const ServiceProfile &profile : serviceProfiles()) {
         for (const double load : {0.5, 0.85, 0.95}) {
-            const std::map<std::string, Result> results = runAll(profile, load);
-            const Result &bound = results.at("bound");
+            const std::map<std::string, RunResult> results = runAll(profile, load);
+            const RunResult &bound = results.at("bound");
             for (const auto &[name, result] : results) {
                 INFO("service " << profile.name << " load " << load << " policy " << name);
                 CHECK(result.p50Ms >= bound.p50Ms);
@@ -56,7 +56,7 @@
     TailSums sums;
     for (const std::uint64_t seed : {1, 2, 3}) {
         const Trace trace = makeTrace(profile, {.load = 0.85, .seed = seed, .length = 20 * Second});
-        const Result inForce = Simulation<LateBinding>(trace).run();
+        const RunResult inForce = Simulation<LateBinding>(trace).run();
         CHECK(inForce.measuringShare <= 0.01);
         CHECK(inForce.budgetShare <= 1);
         CHECK(inForce.repeatedUnsafely == 0);
@@ -118,15 +118,11 @@
     checkLongRun(serviceProfiles()[0]);
 }
 
-TEST_CASE("policy table: over 60 s, the p99 of workshop is within 1.25 times the bound" * doctest::should_fail())
+TEST_CASE("policy table: over 60 s, the p99 of the other services is within 1.25 times the bound")
 {
-    checkLongRun(serviceProfiles()[1]);
-}
-
-TEST_CASE("policy table: over 60 s, the p99 of fitting-bench and catalogue is within 1.25 times the bound")
-{
-    checkLongRun(serviceProfiles()[2]);
-    checkLongRun(serviceProfiles()[3]);
+    for (const std::size_t service : {1, 2, 3}) {
+        checkLongRun(serviceProfiles()[service]);
+    }
 }
 
 TEST_CASE("late binding: faults of the dispatcher cost latency only")
@@ -137,7 +133,7 @@
     for (const Kind kind : {Kind::Disagreement, Kind::Death, Kind::Freeze, Kind::CutOff}) {
         const Ticks end = kind == Kind::Death ? 1000 * Second : 8 * Second;
         Simulation<LateBinding> simulation(trace, {.kind = kind, .from = 5 * Second, .to = end});
-        const Result result = simulation.run();
+        const RunResult result = simulation.run();
         INFO("fault " << static_cast<int>(kind));
         CHECK(simulation.wrongEndings() == 0);
         CHECK(result.repeatedUnsafely == 0);
@@ -155,7 +151,7 @@
                                .triggerTo = 10 * Second,
                                .hasDrains = false,
                                .hasStragglers = false};
-    const Result result = Simulation<LateBinding>(makeTrace(serviceProfiles()[0], options)).run();
+    const RunResult result = Simulation<LateBinding>(makeTrace(serviceProfiles()[0], options)).run();
     const auto sum = [&](std::size_t from, std::size_t to) {
         std::uint64_t total = 0;
         for (std::size_t interval = 2 * from; interval < 2 * to; ++interval) {
