--- a/include/filbertmount/proxy/upstreamclient.h
+++ b/include/filbertmount/proxy/upstreamclient.h
@@ -3,11 +3,10 @@
 #include <filbertmount/proxy/httpmessage.h>
 #include <filbertmount/types/instant.h>
 
-#include <absl/functional/any_invocable.h>
-
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -26,6 +25,8 @@
     Duration connectTimeout = std::chrono::seconds(1);
     /** Time for the whole transfer. */
     Duration timeout = std::chrono::seconds(10);
+    /** Time after which the listener is told that the transfer is slow; nothing when it need not know. */
+    std::optional<Duration> slowAfter{};
 };
 
 enum class TransferResult : std::uint8_t {
@@ -79,6 +80,8 @@
     virtual BodyRead transferRequestBody(std::span<char> buffer) = 0;
     virtual Intake transferAnswerHead(AnswerHead head) = 0;
     virtual Intake transferAnswerBody(std::string_view data) = 0;
+    /** The transfer has not ended after TransferRequest::slowAfter. */
+    virtual void transferSlow() = 0;
     /** The last event; runs exactly once. */
     virtual void transferEnded(const TransferEnd &end) = 0;
 };
@@ -121,8 +124,6 @@
     ~UpstreamClient();
 
     TransferHandle start(TransferRequest request, std::shared_ptr<TransferListener> listener);
-    /** Runs @p task on a worker thread after @p delay, with a resolution of 1 ms. Not run after destruction has begun. */
-    void runAfter(Duration delay, absl::AnyInvocable<void()> task);
 
 private:
     std::vector<std::unique_ptr<TransferWorker>> m_workers;
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -76,6 +76,11 @@
     return m_exchange->attemptData(*this, data);
 }
 
+void Attempt::transferSlow()
+{
+    m_exchange->attemptSlow();
+}
+
 void Attempt::transferEnded(const TransferEnd &end)
 {
     m_exchange->attemptEnded(*this, end);
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -22,6 +22,7 @@
     BodyRead transferRequestBody(std::span<char> buffer) override;
     Intake transferAnswerHead(AnswerHead head) override;
     Intake transferAnswerBody(std::string_view data) override;
+    void transferSlow() override;
     void transferEnded(const TransferEnd &end) override;
 
     /** What the router is told when the transfer has ended. */
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -106,6 +106,8 @@
     BodyRead attemptBody(Attempt &attempt, std::span<char> buffer);
     Intake attemptHead(Attempt &attempt, AnswerHead head);
     Intake attemptData(Attempt &attempt, std::string_view data);
+    /** Makes a hedged attempt at another upstream if the budgets allow one. */
+    void attemptSlow();
     void attemptEnded(Attempt &attempt, const TransferEnd &end);
 
 private:
@@ -119,10 +121,10 @@
     void askForClaim();
     void claimAnswered(const ClaimAnswer &answer);
     void place(bool hedge);
-    void placed(PlacementResult result);
+    void placed(PlacementResult result, bool hedge);
     void startAttempt(Placement placement) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     /** The following two return whether another placement is to be asked for. */
-    bool placementRefused(const PlacementRefusal &refusal) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    bool placementRefused(const PlacementRefusal &refusal, bool hedge) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     bool attemptFailed(const Attempt &attempt, const TransferEnd &end) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     bool winnerEnded(const Attempt &attempt, const TransferEnd &end) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     bool takeRetry(bool notRun) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -139,7 +141,7 @@
     std::size_t discardBody(std::size_t size) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     /** Settles the claim once nothing runs any more. */
     void settle();
-    [[nodiscard]] TransferRequest transferRequest(const Placement &placement) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    [[nodiscard]] TransferRequest transferRequest(const Placement &placement) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
     const ExchangePorts &m_ports;
     const SharedDocument m_document;
@@ -154,6 +156,7 @@
     bool m_callerLeft ABSL_GUARDED_BY(m_mutex) = false;
     RequestBody m_body ABSL_GUARDED_BY(m_mutex);
     std::int64_t m_discarded ABSL_GUARDED_BY(m_mutex) = 0;
+    bool m_hedged ABSL_GUARDED_BY(m_mutex) = false;
     bool m_begun ABSL_GUARDED_BY(m_mutex) = false;
     RetryState m_retries ABSL_GUARDED_BY(m_mutex);
     /** Attempts whose transfer has not ended. */
--- a/src/proxy/exchangeattempts.cpp
+++ b/src/proxy/exchangeattempts.cpp
@@ -90,12 +90,12 @@
         ++m_waiting;
         query.excluded = m_used;
     }
-    m_ports.router.place(query, [self = shared_from_this()](PlacementResult result) {
-        self->placed(std::move(result));
+    m_ports.router.place(query, [self = shared_from_this(), hedge](PlacementResult result) {
+        self->placed(std::move(result), hedge);
     });
 }
 
-void Exchange::placed(PlacementResult result)
+void Exchange::placed(PlacementResult result, bool hedge)
 {
     bool again = false;
     std::optional<Placement> unused;
@@ -103,7 +103,7 @@
         const absl::MutexLock lock(&m_mutex);
         --m_waiting;
         if (const auto *refusal = std::get_if<PlacementRefusal>(&result)) {
-            again = placementRefused(*refusal);
+            again = placementRefused(*refusal, hedge);
         } else if (m_problem || m_callerLeft || m_winner != nullptr || !m_body.replayable()) {
             unused = std::get<Placement>(std::move(result));
         } else {
@@ -119,11 +119,14 @@
     settle();
 }
 
-bool Exchange::placementRefused(const PlacementRefusal &refusal)
+bool Exchange::placementRefused(const PlacementRefusal &refusal, bool hedge)
 {
     if (!m_attempts.empty() || m_waiting > 0 || m_problem || m_winner != nullptr || m_callerLeft) {
         return false;
     }
+    if (hedge) {
+        return true; // The first attempt failed meanwhile; the attempt that was counted for the hedge becomes its retry.
+    }
     // A service that has only upstreams which failed once is still better served by one of them.
     if (refusal.reason == RefusalReason::NoUpstream && !m_used.empty()) {
         m_used.clear();
@@ -150,7 +153,7 @@
     attempt->transfer = m_ports.client.start(transferRequest(attempt->placement), attempt);
 }
 
-TransferRequest Exchange::transferRequest(const Placement &placement) const
+TransferRequest Exchange::transferRequest(const Placement &placement)
 {
     const Duration timeLeft = m_deadline - ProcessClock::now();
     CallContext context = m_context;
@@ -162,7 +165,12 @@
     if (m_body.finished() && m_body.replayable()) {
         head.contentLength = static_cast<std::int64_t>(m_body.size());
     }
-    return {.address = placement.address, .head = std::move(head), .freshConnection = !m_route.repeatable, .timeout = timeLeft};
+    const bool mayHedge = !m_hedged && m_retries.mayRetry(false) && m_body.finished() && m_body.replayable();
+    return {.address = placement.address,
+            .head = std::move(head),
+            .freshConnection = !m_route.repeatable,
+            .timeout = timeLeft,
+            .slowAfter = mayHedge ? m_ports.router.hedgeDelay(m_document->service) : std::nullopt};
 }
 
 std::optional<Problem> Exchange::tooLateToSend(Instant now) const
@@ -269,6 +277,23 @@
     return Intake::Taken;
 }
 
+void Exchange::attemptSlow()
+{
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const bool answered = m_problem || m_callerLeft || m_winner != nullptr;
+        if (answered || m_hedged || m_attempts.size() != 1 || m_waiting > 0 || !m_retries.mayRetry(false)) {
+            return;
+        }
+        if (!m_ports.router.takeHedge(m_document->service)) {
+            return;
+        }
+        m_hedged = true;
+        m_retries.extraAttempt();
+    }
+    place(true);
+}
+
 void Exchange::attemptEnded(Attempt &attempt, const TransferEnd &end)
 {
     bool again = false;
--- a/src/proxy/transfer.cpp
+++ b/src/proxy/transfer.cpp
@@ -233,6 +233,13 @@
     return {.result = resultOf(), .sent = m_sent, .reason = std::move(reason)};
 }
 
+void Transfer::slow()
+{
+    if (m_listener != nullptr) {
+        m_listener->transferSlow();
+    }
+}
+
 void Transfer::end(CURLcode code)
 {
     if (std::exchange(m_ended, true)) {
--- a/src/proxy/transfer.h
+++ b/src/proxy/transfer.h
@@ -28,6 +28,12 @@
     {
         return m_easy;
     }
+    [[nodiscard]] std::optional<Duration> slowAfter() const
+    {
+        return m_request.slowAfter;
+    }
+    /** Tells the listener unless the transfer has ended. */
+    void slow();
     /** Reports the end to the listener and lets go of the handle. */
     void end(CURLcode code);
     void cancelled();
--- a/src/proxy/transferworker.cpp
+++ b/src/proxy/transferworker.cpp
@@ -49,16 +49,6 @@
     post({.action = Action::Resume, .transfer = std::move(transfer)});
 }
 
-void TransferWorker::runAfter(Duration delay, absl::AnyInvocable<void()> task)
-{
-    {
-        const absl::MutexLock lock(&m_mutex);
-        m_timers.push(
-            {.due = ProcessClock::now() + delay, .task = std::make_shared<absl::AnyInvocable<void()>>(std::move(task))});
-    }
-    curl_multi_wakeup(m_multi);
-}
-
 void TransferWorker::post(Command command)
 {
     bool first = false;
@@ -140,6 +130,9 @@
     transfer->prepare(easy);
     m_running.emplace(easy, transfer);
     curl_multi_add_handle(m_multi, easy);
+    if (const std::optional<Duration> slowAfter = transfer->slowAfter()) {
+        m_timers.push({.due = ProcessClock::now() + *slowAfter, .transfer = transfer});
+    }
 }
 
 void TransferWorker::detach(CURL *easy)
@@ -172,24 +165,18 @@
 
 void TransferWorker::runTimers()
 {
-    const Instant now = ProcessClock::now();
-    std::vector<Timer> due;
-    {
-        const absl::MutexLock lock(&m_mutex);
-        while (!m_timers.empty() && m_timers.top().due <= now) {
-            due.push_back(m_timers.top());
-            m_timers.pop();
+    while (!m_timers.empty() && m_timers.top().due <= ProcessClock::now()) {
+        const std::shared_ptr<Transfer> transfer = m_timers.top().transfer.lock();
+        m_timers.pop();
+        if (transfer != nullptr) {
+            transfer->slow();
         }
     }
-    for (const Timer &timer : due) {
-        (*timer.task)();
-    }
 }
 
 int TransferWorker::waitMilliseconds()
 {
-    const absl::MutexLock lock(&m_mutex);
-    if (!m_commands.empty()) {
+    if (hasCommands()) {
         return 0;
     }
     if (m_timers.empty()) {
--- a/src/proxy/transferworker.h
+++ b/src/proxy/transferworker.h
@@ -25,7 +25,6 @@
     void start(std::shared_ptr<Transfer> transfer);
     void cancel(std::shared_ptr<Transfer> transfer);
     void resume(std::shared_ptr<Transfer> transfer);
-    void runAfter(Duration delay, absl::AnyInvocable<void()> task);
 
 private:
     enum class Action : std::uint8_t {
@@ -39,7 +38,7 @@
     };
     struct Timer {
         Instant due;
-        std::shared_ptr<absl::AnyInvocable<void()>> task;
+        std::weak_ptr<Transfer> transfer;
         bool operator<(const Timer &other) const
         {
             return due > other.due;
@@ -61,10 +60,10 @@
     absl::flat_hash_map<CURL *, std::shared_ptr<Transfer>> m_running;
     std::vector<CURL *> m_spare;
     std::vector<Command> m_taken;
+    std::priority_queue<Timer> m_timers;
 
     absl::Mutex m_mutex;
     std::vector<Command> m_commands ABSL_GUARDED_BY(m_mutex);
-    std::priority_queue<Timer> m_timers ABSL_GUARDED_BY(m_mutex);
     std::atomic<bool> m_stopping = false;
     std::thread m_thread;
 };
--- a/src/proxy/upstreamclient.cpp
+++ b/src/proxy/upstreamclient.cpp
@@ -46,9 +46,4 @@
     return {std::move(transfer), worker};
 }
 
-void UpstreamClient::runAfter(Duration delay, absl::AnyInvocable<void()> task)
-{
-    m_workers.front()->runAfter(delay, std::move(task));
-}
-
 } // namespace Filbertmount
--- a/tests/proxy/runstatetest.cpp
+++ b/tests/proxy/runstatetest.cpp
@@ -101,6 +101,7 @@
         {"closed without an answer", NotRepeatable, closeWithoutAnswer, 502, "may-have-run", 1},
         // A draining upstream is not asked again.
         {"documented refusal", NotRepeatable, refuseWith("draining"), 503, "not-run", 1},
+        {"other refusal", NotRepeatable, refuseWith("shedding"), 503, "not-run", 3},
         {"refusal of a repeatable request", Repeatable, refuseWith("shedding"), 503, "not-run", 3},
         {"garbage", NotRepeatable, always("SSH-2.0-OpenSSH\r\n\r\n"), 502, "may-have-run", 1},
         {"garbage to a repeatable request", Repeatable, always("\1\2\3\r\n\r\n"), 502, "may-have-run", 3},
@@ -231,6 +232,44 @@
     }
 }
 
+TEST_CASE("a slow repeatable request is hedged and the first answer wins")
+{
+    for (const bool repeatable : {true, false}) {
+        CAPTURE(repeatable);
+        std::atomic<bool> stuck = false;
+        std::atomic<bool> hit = false;
+        absl::Notification release;
+        TestUpstream slow([&](const TestMessage &, TestSocket &socket) {
+            if (stuck) {
+                hit = true;
+                release.WaitForNotification();
+            }
+            return socket.send(answerWith("200 OK", "slow"));
+        });
+        TestUpstream fast(always(answerWith("200 OK", "fast")));
+        TestEntry entry({.upstreams = {slow.address(), fast.address()},
+                         .routes = {{.method = "GET", .repeatable = true}, {.method = "POST", .repeatable = false}},
+                         .hedging = {.budgetPercent = 100}});
+        // Enough service times for the policy to know when a request is slow.
+        for (int round = 0; round < 300; ++round) {
+            CHECK(entry.call(request("GET /")).status() == 200);
+        }
+        stuck = true;
+        const std::string line = repeatable ? "GET /" : "POST /";
+        while (!hit) {
+            const int before = fast.requests();
+            TestSocket caller = entry.connect();
+            caller.send(request(line, "Filbertmount-Deadline-Ms: 5000\r\n"));
+            const TestMessage answer = readMessage(caller);
+            if (hit) {
+                CHECK(answer.status() == (repeatable ? 200 : 504));
+                CHECK(fast.requests() - before == (repeatable ? 1 : 0));
+            }
+        }
+        release.Notify();
+    }
+}
+
 TEST_CASE("a repeatable request is not tried again once a part of the answer was passed on")
 {
     TestUpstream upstream([](const TestMessage &, TestSocket &socket) {
--- a/tests/proxy/testentry.cpp
+++ b/tests/proxy/testentry.cpp
@@ -13,6 +13,7 @@
     document->routes = options.routes;
     document->limits = options.limits;
     document->retries = options.retries;
+    document->hedging = options.hedging;
     std::vector<RoutedUpstream> upstreams;
     for (const std::string &address : options.upstreams) {
         upstreams.push_back({.id = UpstreamId(address), .address = address, .zone = {}, .slots = 4});
--- a/tests/proxy/testentry.h
+++ b/tests/proxy/testentry.h
@@ -22,6 +22,7 @@
     LimitSettings limits = {};
     /** Enough for every retry that the call tree allows. */
     RetrySettings retries = {.budgetPercent = 1000};
+    HedgingSettings hedging = {};
     CallerPortOptions caller = {};
     ClaimPort claims = {};
 };
