--- a/bench/policysim/bound.h
+++ b/bench/policysim/bound.h
@@ -158,7 +158,7 @@
  */
 inline RunResult runBound(const Trace &trace)
 {
-    const auto slots = static_cast<std::size_t>(trace.profile.upstreams * trace.profile.slots);
+    const auto slots = static_cast<std::size_t>(trace.profile.upstreams) * static_cast<std::size_t>(trace.profile.slots);
     RunResult best = IdealQueue(trace, std::numeric_limits<std::size_t>::max()).run();
     for (const std::size_t multiple : {2, 3, 4, 6, 8, 12, 16, 24, 32}) {
         const RunResult other = IdealQueue(trace, slots * multiple).run();
--- a/bench/policysim/fabric.h
+++ b/bench/policysim/fabric.h
@@ -71,7 +71,7 @@
     /** This upstream reports that it is idle, whatever it does. */
     static constexpr UpstreamIndex LyingUpstream = 0;
 
-    Fabric(const Trace &givenTrace, InstanceFault givenFault, FakeUpstream::Ended ended)
+    Fabric(const Trace &givenTrace, InstanceFault givenFault, const FakeUpstream::Ended &ended)
         : trace(givenTrace)
         , fault(givenFault)
     {
--- a/src/routing/slotselector.cpp
+++ b/src/routing/slotselector.cpp
@@ -109,7 +109,7 @@
 {
     hide(excluded);
     UpstreamIndex chosen = None;
-    double lowest = std::min(largestSlowness + KeyPerLoad, std::numeric_limits<double>::max());
+    double lowest = largestSlowness + KeyPerLoad;
     for (const auto &zone : m_zones) {
         const TournamentTree &tree = slots == Slots::Free ? zone->free : zone->inAdvance;
         const std::size_t leaf = tree.best();
--- a/tests/routing/policytabletest.cpp
+++ b/tests/routing/policytabletest.cpp
@@ -31,8 +31,9 @@
         for (const double load : {0.5, 0.85, 0.95}) {
             const std::map<std::string, RunResult> results = runAll(profile, load);
             const RunResult &bound = results.at("bound");
-            for (const auto &[name, result] : results) {
-                INFO("service " << profile.name << " load " << load << " policy " << name);
+            for (const auto &named : results) {
+                const RunResult &result = named.second;
+                INFO("service " << profile.name << " load " << load << " policy " << result.policy);
                 CHECK(result.p50Ms >= bound.p50Ms);
                 CHECK(result.p99Ms >= bound.p99Ms);
                 CHECK(result.p999Ms >= bound.p999Ms);
--- a/tests/routing/routernetworktest.cpp
+++ b/tests/routing/routernetworktest.cpp
@@ -30,6 +30,7 @@
     explicit Network(const std::vector<std::string> &names)
     {
         std::vector<InstanceId> members;
+        members.reserve(names.size());
         for (const std::string &name : names) {
             members.emplace_back(name);
         }
@@ -196,6 +197,7 @@
     std::atomic<int> answers = 0;
     constexpr int perThread = 200;
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int worker = 0; worker < 4; ++worker) {
         threads.emplace_back([&] {
             for (int call = 0; call < perThread; ++call) {
--- a/tests/routing/slotdispatchertest.cpp
+++ b/tests/routing/slotdispatchertest.cpp
@@ -13,6 +13,7 @@
 std::vector<RoutedUpstream> upstreams(int count, int slots)
 {
     std::vector<RoutedUpstream> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         list.push_back({.id = UpstreamId("u" + std::to_string(index)),
                         .address = {},
--- a/tests/routing/upstreamtabletest.cpp
+++ b/tests/routing/upstreamtabletest.cpp
@@ -15,6 +15,7 @@
 std::vector<RoutedUpstream> list(int count, Incarnation incarnation = {})
 {
     std::vector<RoutedUpstream> upstreams;
+    upstreams.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         upstreams.push_back({.id = UpstreamId("u" + std::to_string(index)), .slots = 4, .incarnation = incarnation});
     }
