--- a/src/routing/slotselector.cpp
+++ b/src/routing/slotselector.cpp
@@ -82,7 +82,10 @@
     const bool mayTakeInAdvance = limit > 0 && inFlight == limit && limit == table.upstream(index).slots;
     Place &place = m_places[index];
     place.freeKey = inFlight >= limit ? TournamentTree::Absent : slowness + KeyPerLoad * inFlight / limit;
-    place.advanceKey = mayTakeInAdvance ? slowness : TournamentTree::Absent;
+    place.advanceKey = TournamentTree::Absent;
+    if (mayTakeInAdvance) {
+        place.advanceKey = slowness;
+    }
     setKeys(place, place.freeKey, place.advanceKey);
 }
 
