--- a/tests/routing/routernetworktest.cpp
+++ b/tests/routing/routernetworktest.cpp
@@ -139,7 +139,8 @@
     network.deliver();
     CHECK(answers == 1);
     int taken = 0;
-    for (const UpstreamStatus &upstream : network.routers.at(dispatcher)->status().services.at(0).upstreams) {
+    const RouterStatus status = network.routers.at(dispatcher)->status();
+    for (const UpstreamStatus &upstream : status.services.at(0).upstreams) {
         taken += upstream.dispatchedInFlight;
     }
     // Only the attempt that the instance placed by itself is left, known through its report.
