--- a/src/routing/slotselector.cpp
+++ b/src/routing/slotselector.cpp
@@ -82,7 +82,10 @@
     const bool mayTakeInAdvance = limit > 0 && inFlight == limit && limit == table.upstream(index).slots;
     Place &place = m_places[index];
     place.freeKey = inFlight >= limit ? TournamentTree::Absent : slowness + KeyPerLoad * inFlight / limit;
-    place.advanceKey = mayTakeInAdvance ? slowness : TournamentTree::Absent;
+    place.advanceKey = TournamentTree::Absent;
+    if (mayTakeInAdvance) {
+        place.advanceKey = slowness;
+    }
     setKeys(place, place.freeKey, place.advanceKey);
 }
 
@@ -109,7 +112,7 @@
 {
     hide(excluded);
     UpstreamIndex chosen = None;
-    double lowest = std::min(largestSlowness + KeyPerLoad, std::numeric_limits<double>::max());
+    double lowest = largestSlowness + KeyPerLoad;
     for (const auto &zone : m_zones) {
         const TournamentTree &tree = slots == Slots::Free ? zone->free : zone->inAdvance;
         const std::size_t leaf = tree.best();
--- a/tests/routing/routernetworktest.cpp
+++ b/tests/routing/routernetworktest.cpp
@@ -30,6 +30,7 @@
     explicit Network(const std::vector<std::string> &names)
     {
         std::vector<InstanceId> members;
+        members.reserve(names.size());
         for (const std::string &name : names) {
             members.emplace_back(name);
         }
@@ -138,7 +139,8 @@
     network.deliver();
     CHECK(answers == 1);
     int taken = 0;
-    for (const UpstreamStatus &upstream : network.routers.at(dispatcher)->status().services.at(0).upstreams) {
+    const RouterStatus status = network.routers.at(dispatcher)->status();
+    for (const UpstreamStatus &upstream : status.services.at(0).upstreams) {
         taken += upstream.dispatchedInFlight;
     }
     // Only the attempt that the instance placed by itself is left, known through its report.
@@ -196,6 +198,7 @@
     std::atomic<int> answers = 0;
     constexpr int perThread = 200;
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int worker = 0; worker < 4; ++worker) {
         threads.emplace_back([&] {
             for (int call = 0; call < perThread; ++call) {
