--- a/bench/claims.cpp
+++ b/bench/claims.cpp
@@ -165,7 +165,7 @@
 {
     ClaimShard shard;
     constexpr std::int64_t start = 1'800'000'000;
-    constexpr std::int64_t day = 24 * 3600;
+    constexpr std::int64_t day = std::int64_t{24} * 3600;
     std::size_t added = 0;
     for (; added < claims; ++added) {
         const ClaimKey key = claimKey("order-" + std::to_string(added));
--- a/tests/support/faults/claimworld.h
+++ b/tests/support/faults/claimworld.h
@@ -47,7 +47,7 @@
 class ClaimWorld
 {
 public:
-    ClaimWorld(std::uint64_t seed, std::vector<Strike> strikes, Breach breach, bool tracing)
+    ClaimWorld(std::uint64_t seed, const std::vector<Strike> &strikes, Breach breach, bool tracing)
         : m_simulation(seed, tracing)
         , m_store(m_simulation)
         , m_breach(breach)
@@ -143,17 +143,17 @@
     /** Keys of two shards only, so that claims share writes and writers compete. */
     static const std::string &keyName(int key)
     {
-        static const std::vector<std::string> Names = [] {
-            std::vector<std::string> names;
-            for (int number = 0; names.size() <= Keys; ++number) {
+        static const std::vector<std::string> names = [] {
+            std::vector<std::string> result;
+            for (int number = 0; result.size() <= Keys; ++number) {
                 const std::string name = "order-" + std::to_string(number);
                 if (claimShardNumber(claimKey(name)) < 2) {
-                    names.push_back(name);
+                    result.push_back(name);
                 }
             }
-            return names;
+            return result;
         }();
-        return Names.at(static_cast<std::size_t>(key));
+        return names.at(static_cast<std::size_t>(key));
     }
     Instant localNow(std::size_t instance) const
     {
@@ -225,10 +225,10 @@
     {
         Attempt &attempt = m_attempts[number];
         attempt.ended = true;
-        static constexpr std::array<const char *, 4> Names = {"nothing", "not run", "may have run", "ran"};
+        static constexpr std::array<const char *, 4> names = {"nothing", "not run", "may have run", "ran"};
         attempt.told = told;
         if (m_simulation.tracing()) {
-            trace(number, std::string("caller is told: ") + Names.at(static_cast<std::size_t>(told)));
+            trace(number, std::string("caller is told: ") + names.at(static_cast<std::size_t>(told)));
         }
     }
     void trace(std::size_t number, const std::string &text)
@@ -258,8 +258,8 @@
     void decided(std::size_t number, ClaimAnswer answer)
     {
         Attempt &attempt = m_attempts[number];
-        static constexpr std::array<const char *, 5> Names = {"owned", "already run", "outcome unknown", "unavailable", "full"};
-        trace(number, std::string("claim is ") + Names.at(static_cast<std::size_t>(answer.decision)));
+        static constexpr std::array<const char *, 5> names = {"owned", "already run", "outcome unknown", "unavailable", "full"};
+        trace(number, std::string("claim is ") + names.at(static_cast<std::size_t>(answer.decision)));
         if (m_breach == Breach::DispatchUnproved && answer.decision == ClaimDecision::Unavailable) {
             answer.decision = ClaimDecision::Owned;
         }
--- a/tests/support/faults/quarantineworld.h
+++ b/tests/support/faults/quarantineworld.h
@@ -176,7 +176,7 @@
         const CrashFingerprint fingerprint = crashFingerprint(ServiceName("shop"), "GET", attempt.target, "");
         decided(number, node.quarantine.admit(RequestId(number), ServiceName("shop"), fingerprint, localNow(node)));
     }
-    void decided(std::size_t number, CrashDecision decision)
+    void decided(std::size_t number, const CrashDecision &decision)
     {
         Attempt &attempt = m_attempts[number];
         if (decision.admission == CrashAdmission::Wait) {
