Read a new document's instance list at once; draw seeds per process

Cause: for up to a second after a new document, its service had no upstreams and half of the requests were refused as "no usable upstream", although the instance was ready. All instances also drew the same random sequence for gossip, and passed on store values with 20 earlier texts of each document.

Ruled out: slow start of cold upstreams, which keeps a quarter of the slots.

Conclusion: a service is served from the moment the instance is ready.

--- a/src/instance/documentfollower.cpp
+++ b/src/instance/documentfollower.cpp
@@ -93,6 +93,16 @@
     return names;
 }
 
+bool DocumentFollower::listsKnown() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return std::all_of(m_documents.begin(), m_documents.end(), [this](const auto &entry) {
+        const std::string &list = entry.second->upstreams.list;
+        m_mutex.AssertHeld();
+        return list.empty() || m_rows.contains(list);
+    });
+}
+
 void DocumentFollower::updateList(const std::string &list, const std::vector<ListedInstance> &rows)
 {
     const absl::MutexLock lock(&m_mutex);
--- a/src/instance/documentfollower.h
+++ b/src/instance/documentfollower.h
@@ -26,6 +26,8 @@
 
     /** Names of the platform's lists that the documents take upstreams from. */
     [[nodiscard]] std::vector<std::string> lists() const;
+    /** Whether each of these lists has been read once; before that, a service has no upstreams. */
+    [[nodiscard]] bool listsKnown() const;
     /** Gives the upstreams of @p list to all services that take theirs from it. */
     void updateList(const std::string &list, const std::vector<ListedInstance> &rows);
 
--- a/src/instance/entryinstance.cpp
+++ b/src/instance/entryinstance.cpp
@@ -9,12 +9,14 @@
 #include <filbertmount/admin/adminport.h>
 #include <filbertmount/proxy/callerport.h>
 #include <filbertmount/proxy/upstreamclient.h>
+#include <filbertmount/replication/storedocument.h>
 #include <filbertmount/telemetry/log.h>
 
 #include <absl/synchronization/notification.h>
 
 #include <atomic>
 #include <optional>
+#include <random>
 #include <thread>
 #include <utility>
 
@@ -34,6 +36,13 @@
     return {.address = settings.address->text(), .timeout = settings.timeout};
 }
 
+// Members that draw the same random sequence would all choose the same peers at the same time.
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>()(device);
+}
+
 Member selfOf(const InstanceSettings &settings)
 {
     return {.id = settings.identity.id,
@@ -64,8 +73,8 @@
         , peers(std::move(link))
         , table(&decodeStoredDocument)
         , gate({}, ProcessClock::now())
-        , gossip({.self = given.identity.id}, table, gate)
-        , router({.self = given.identity.id, .zone = given.identity.zone, .send = peers->sender()})
+        , gossip({.self = given.identity.id, .seed = randomSeed()}, table, gate)
+        , router({.self = given.identity.id, .zone = given.identity.zone, .send = peers->sender(), .seed = randomSeed()})
         , followed(table, router, directory)
         , client({.workers = given.limits.workers})
         , ports{.router = router, .client = client}
@@ -183,7 +192,7 @@
                                     },
                                 .accepted =
                                     [this](const ServiceName &service, Revision revision, const std::string &value) {
-                                        table.take(service, revision, value);
+                                        table.take(service, revision, withoutHistory(value));
                                         followed.follow();
                                         peers->send(gossip.announce({service}));
                                     }}));
@@ -233,6 +242,9 @@
     if (!gate.admits(ProcessClock::now(), true)) {
         return {.ready = false, .reason = "the documents are not known to be current"};
     }
+    if (!followed.listsKnown()) {
+        return {.ready = false, .reason = "the upstreams of a service have not been listed yet"};
+    }
     return {.ready = true};
 }
 
@@ -262,10 +274,11 @@
 
 Result<std::unique_ptr<EntryInstance>> EntryInstance::start(const InstanceSettings &settings)
 {
-    BOOST_LEAF_AUTO(
-        peers,
-        PeerLink::listen(
-            {.cluster = settings.identity.cluster, .self = selfOf(settings), .staticPeers = staticPeers(settings.peers)}));
+    BOOST_LEAF_AUTO(peers,
+                    PeerLink::listen({.cluster = settings.identity.cluster,
+                                      .self = selfOf(settings),
+                                      .staticPeers = staticPeers(settings.peers),
+                                      .seed = randomSeed()}));
     std::unique_ptr<EntryInstance> instance(new EntryInstance(std::make_unique<State>(settings, std::move(peers))));
     BOOST_LEAF_CHECK(instance->m_state->start());
     return instance;
--- a/src/instance/peerlink.cpp
+++ b/src/instance/peerlink.cpp
@@ -38,7 +38,8 @@
     Member self = m_options.self;
     self.peerAddress = m_transport->address();
     m_membership = std::make_unique<MembershipTable>(
-        MembershipTable::Options{.self = std::move(self), .staticPeers = m_options.staticPeers}, ProcessClock::now());
+        MembershipTable::Options{.self = std::move(self), .staticPeers = m_options.staticPeers, .seed = m_options.seed},
+        ProcessClock::now());
     setHandlers();
     m_connected = true;
 }
--- a/src/instance/peerlink.h
+++ b/src/instance/peerlink.h
@@ -23,6 +23,7 @@
         std::string cluster;
         Member self;
         std::vector<std::string> staticPeers;
+        std::uint64_t seed = 1;
     };
     /** Who gets messages. All outlive the link's traffic, which stop() ends. */
     struct Receivers {
--- a/src/instance/storefollower.cpp
+++ b/src/instance/storefollower.cpp
@@ -1,10 +1,13 @@
 #include "instance/storefollower.h"
 
 #include <filbertmount/document/documentvalue.h>
+#include <filbertmount/replication/storedocument.h>
 
 #include <absl/time/time.h>
 
+#include <map>
 #include <string_view>
+#include <utility>
 
 namespace Filbertmount {
 
@@ -82,7 +85,9 @@
     std::vector<ServiceName> changed;
     for (const StoreObject &object : objects) {
         const ServiceName service(object.key.substr(std::string_view(DocumentKeyPrefix).size()));
-        if (m_targets.table.take(service, object.revision, object.value) != DocumentTakeResult::Stale) {
+        // Peers pass the value on; twenty earlier texts in it would use up the bytes that control traffic may take.
+        const std::string value = withoutHistory(object.value);
+        if (m_targets.table.take(service, object.revision, value) != DocumentTakeResult::Stale) {
             changed.push_back(service);
         }
     }
@@ -94,25 +99,41 @@
 
 void StoreFollower::readLists()
 {
+    std::map<std::string, Instant> readAt;
     while (!m_stopping.HasBeenNotified()) {
         for (const std::string &list : m_targets.documents.lists()) {
+            // A list that a new document names is read at once, since its service has no upstreams until then.
+            const auto last = readAt.find(list);
+            const Instant now = ProcessClock::now();
+            if (last != readAt.end() && now - last->second < m_options.listInterval) {
+                continue;
+            }
             const InstanceListing listing = m_instanceList.read(list);
             if (listing.outcome == StoreOutcome::Done) {
+                readAt[list] = now;
                 m_targets.documents.updateList(list, listing.instances);
             }
         }
-        if (!m_options.peerList.empty()) {
-            const InstanceListing listing = m_instanceList.read(m_options.peerList);
-            std::vector<std::string> addresses;
-            for (const ListedInstance &row : listing.instances) {
-                addresses.push_back(row.address);
-            }
-            if (listing.outcome == StoreOutcome::Done) {
-                m_targets.peers.setListedPeers(std::move(addresses));
-            }
+        const Instant now = ProcessClock::now();
+        if (!m_options.peerList.empty() && now - m_peersReadAt >= m_options.listInterval) {
+            m_peersReadAt = now;
+            readPeerList();
         }
-        m_stopping.WaitForNotificationWithTimeout(absl::FromChrono(m_options.listInterval));
+        m_stopping.WaitForNotificationWithTimeout(Pause);
+    }
+}
+
+void StoreFollower::readPeerList()
+{
+    const InstanceListing listing = m_instanceList.read(m_options.peerList);
+    if (listing.outcome != StoreOutcome::Done) {
+        return;
+    }
+    std::vector<std::string> addresses;
+    for (const ListedInstance &row : listing.instances) {
+        addresses.push_back(row.address);
     }
+    m_targets.peers.setListedPeers(std::move(addresses));
 }
 
 } // namespace Filbertmount
--- a/src/instance/storefollower.h
+++ b/src/instance/storefollower.h
@@ -43,6 +43,7 @@
 private:
     void watchDocuments();
     void readLists();
+    void readPeerList();
     bool listDocuments();
     void take(const std::vector<StoreObject> &objects);
 
@@ -53,6 +54,7 @@
     Revision m_watchedUpTo;
     absl::Notification m_stopping;
     std::thread m_watcher;
+    Instant m_peersReadAt;
     std::thread m_lister;
 };
 
