--- a/src/notices/servicenotices.cpp
+++ b/src/notices/servicenotices.cpp
@@ -159,10 +159,10 @@
             continue;
         }
         NoticedUpstream status{.id = id,
-                              .address = entry.row.address,
-                              .zone = entry.row.zone,
-                              .incarnation = entry.row.incarnation,
-                              .condition = ownCondition(entry, now)};
+                               .address = entry.row.address,
+                               .zone = entry.row.zone,
+                               .incarnation = entry.row.incarnation,
+                               .condition = ownCondition(entry, now)};
         const bool live = status.condition == UpstreamCondition::Live;
         const auto claim = firstClaim(entry, now);
         if (live && claim) {
