Use one decoder of store values

Cause: the entry instance had its own copy of decodeStoreDocument. The copy also refused a document that names another service, which DocumentTable checks for every decoder.

Change: the instance passes decodeStoreDocument to its table; the copy is gone.

--- a/src/instance/documentsource.cpp
+++ b/src/instance/documentsource.cpp
@@ -28,20 +28,6 @@
 
 } // namespace
 
-Result<DecodedDocument> decodeStoredDocument(const ServiceName &service, const std::string &value)
-{
-    BOOST_LEAF_AUTO(decoded, decodeDocumentValue(value, service.value()));
-    if (decoded.deleted) {
-        return DecodedDocument{.deleted = true, .document = {}};
-    }
-    BOOST_LEAF_AUTO(document, parseServiceDocument(decoded.document, service.value()));
-    if (document.service != service) {
-        return boost::leaf::new_error(
-            Failure{.step = Step::ReadDocument, .peer = service.value(), .reason = "the document names another service"});
-    }
-    return DecodedDocument{.deleted = false, .document = std::move(document)};
-}
-
 Result<std::vector<FileDocument>> readDocumentFiles(const std::vector<std::string> &fileNames)
 {
     std::vector<FileDocument> documents;
--- a/src/instance/documentsource.h
+++ b/src/instance/documentsource.h
@@ -1,16 +1,13 @@
 #pragma once
 
-#include <filbertmount/replication/documenttable.h>
 #include <filbertmount/types/failure.h>
+#include <filbertmount/types/ids.h>
 
 #include <string>
 #include <vector>
 
 namespace Filbertmount {
 
-/** Decodes a store value for DocumentTable. */
-Result<DecodedDocument> decodeStoredDocument(const ServiceName &service, const std::string &value);
-
 /** A document from a file, in the form that DocumentTable takes. */
 struct FileDocument {
     ServiceName service;
--- a/src/instance/entryinstance.cpp
+++ b/src/instance/entryinstance.cpp
@@ -74,7 +74,7 @@
         : settings(given)
         , events(given.identity.id.value())
         , peers(std::move(link))
-        , table(&decodeStoredDocument)
+        , table(&decodeStoreDocument)
         , gate({}, ProcessClock::now())
         , gossip({.self = given.identity.id, .seed = randomSeed()}, table, gate)
         , router({.self = given.identity.id, .zone = given.identity.zone, .send = peers->sender(), .seed = randomSeed()})
