--- a/src/admin/tokentable.cpp
+++ b/src/admin/tokentable.cpp
@@ -1,8 +1,9 @@
 #include "admin/tokentable.h"
 
+#include <filbertmount/types/sha256.h>
+
 #include <absl/strings/match.h>
 #include <openssl/crypto.h>
-#include <openssl/sha.h>
 
 namespace Filbertmount {
 
@@ -10,13 +11,6 @@
 
 const std::string BearerPrefix = "Bearer ";
 
-TokenHash hashOf(const std::string &token)
-{
-    TokenHash hash{};
-    SHA256(reinterpret_cast<const unsigned char *>(token.data()), token.size(), hash.data());
-    return hash;
-}
-
 } // namespace
 
 TokenTable::TokenTable(std::vector<TeamSettings> teams)
@@ -35,7 +29,7 @@
     if (!absl::StartsWithIgnoreCase(authorization, BearerPrefix) || authorization.size() == BearerPrefix.size()) {
         return std::nullopt;
     }
-    const TokenHash hash = hashOf(authorization.substr(BearerPrefix.size()));
+    const TokenHash hash = sha256(authorization.substr(BearerPrefix.size()));
     std::optional<TeamName> found;
     const std::lock_guard<std::mutex> lock(m_mutex);
     // All hashes are compared, so that the time does not tell which team a token is close to.
--- a/src/claims/claimtypes.cpp
+++ b/src/claims/claimtypes.cpp
@@ -1,7 +1,8 @@
 #include <filbertmount/claims/claimtypes.h>
 
+#include <filbertmount/types/sha256.h>
+
 #include <openssl/rand.h>
-#include <openssl/sha.h>
 
 #include <algorithm>
 #include <stdexcept>
@@ -10,9 +11,7 @@
 
 ClaimKey claimKey(const std::string &idempotencyKey)
 {
-    std::array<std::uint8_t, SHA256_DIGEST_LENGTH> digest{};
-    const auto *bytes = reinterpret_cast<const unsigned char *>(idempotencyKey.data());
-    SHA256(bytes, idempotencyKey.size(), digest.data());
+    const Sha256Digest digest = sha256(idempotencyKey);
     ClaimKey key{};
     std::copy_n(digest.begin(), key.size(), key.begin());
     return key;
--- a/src/proxy/exchangecrashes.cpp
+++ b/src/proxy/exchangecrashes.cpp
@@ -1,9 +1,7 @@
 // How an exchange works with the quarantine of requests that crash upstreams.
 #include "proxy/exchange.h"
 
-#include <openssl/sha.h>
-
-#include <array>
+#include <filbertmount/types/sha256.h>
 
 namespace Filbertmount {
 
@@ -11,13 +9,6 @@
 
 constexpr std::chrono::minutes QuarantineTime{10};
 
-std::string bodyHash(std::string_view body)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> hash{};
-    SHA256(reinterpret_cast<const unsigned char *>(body.data()), body.size(), hash.data()); // NOLINT: the library's type
-    return {hash.begin(), hash.end()};
-}
-
 } // namespace
 
 void Exchange::noteFingerprint()
@@ -27,7 +18,8 @@
     }
     const absl::MutexLock lock(&m_mutex);
     // A body that is longer than what is kept is told by its beginning.
-    m_fingerprint = crashFingerprint(m_document->service, m_head.method, m_head.target, bodyHash(m_body.kept()));
+    const Sha256Digest body = sha256(m_body.kept());
+    m_fingerprint = crashFingerprint(m_document->service, m_head.method, m_head.target, {body.begin(), body.end()});
 }
 
 void Exchange::place(bool hedge)
--- a/src/quarantine/crashquarantine.cpp
+++ b/src/quarantine/crashquarantine.cpp
@@ -1,6 +1,6 @@
 #include <filbertmount/quarantine/crashquarantine.h>
 
-#include <openssl/sha.h>
+#include <filbertmount/types/sha256.h>
 
 #include <algorithm>
 
@@ -28,8 +28,7 @@
     for (const std::string *part : {&service.value(), &method, &target, &bodyHash}) {
         appendPart(&text, *part);
     }
-    std::array<std::uint8_t, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
+    const Sha256Digest digest = sha256(text);
     CrashFingerprint fingerprint{};
     std::copy_n(digest.begin(), fingerprint.size(), fingerprint.begin());
     return fingerprint;
