Share the settings and document file of the entry instance tests

Cause: the test of crashing requests wrote the loopback settings and the temporary document file of entryinstancetest.cpp again.

Change: both come from tests/instance/testsettings.h; no assertion changed.

Conclusion: one place for the settings.

--- a/tests/instance/entryinstancetest.cpp
+++ b/tests/instance/entryinstancetest.cpp
@@ -1,4 +1,5 @@
 // A whole entry instance with its ports, over loopback.
+#include "instance/testsettings.h"
 #include "proxy/testsocket.h"
 #include "proxy/testupstream.h"
 #include "support/platform.h"
@@ -10,11 +11,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
-#include <cstdio>
-#include <filesystem>
-#include <fstream>
 #include <thread>
-#include <unistd.h>
 
 using namespace Filbertmount;
 using namespace Filbertmount::Testing;
@@ -28,17 +25,6 @@
           "[[routes]]\nmethod = \"POST\"\npath = \"/orders\"\n";
 }
 
-InstanceSettings loopbackSettings()
-{
-    InstanceSettings settings;
-    settings.identity.id = InstanceId("entry-1");
-    settings.identity.region = Region("riga");
-    settings.addresses.callers = {.ip = "127.0.0.1"};
-    settings.addresses.administration = {.ip = "127.0.0.1"};
-    settings.addresses.peers = {.ip = "127.0.0.1"};
-    return settings;
-}
-
 TestMessage call(std::uint16_t port, const std::string &text)
 {
     TestSocket socket = TestSocket::connectTo(port);
@@ -70,30 +56,6 @@
     }
 }
 
-/** A document file that is removed at the end of the test. */
-class DocumentFile
-{
-public:
-    explicit DocumentFile(const std::string &text)
-        : m_path((std::filesystem::temp_directory_path() / ("filbertmount-test-" + std::to_string(getpid()) + ".toml")).string())
-    {
-        std::ofstream(m_path) << text;
-    }
-    ~DocumentFile()
-    {
-        std::filesystem::remove(m_path);
-    }
-    DocumentFile(const DocumentFile &) = delete;
-    DocumentFile &operator=(const DocumentFile &) = delete;
-    [[nodiscard]] const std::string &path() const
-    {
-        return m_path;
-    }
-
-private:
-    std::string m_path;
-};
-
 } // namespace
 
 TEST_CASE("an instance serves documents from files without a store and without peers")
--- a/tests/instance/upstreamsignstest.cpp
+++ b/tests/instance/upstreamsignstest.cpp
@@ -1,5 +1,6 @@
 // What an entry instance does about upstreams that die or report on themselves.
 #include "instance/probetransfer.h"
+#include "instance/testsettings.h"
 #include "proxy/testsocket.h"
 #include "proxy/testupstream.h"
 #include "support/results.h"
@@ -9,13 +10,8 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
-#include <cstdio>
-#include <filesystem>
-#include <fstream>
 #include <memory>
 #include <string>
-#include <thread>
-#include <unistd.h>
 #include <vector>
 
 using namespace Filbertmount;
@@ -95,22 +91,14 @@
         upstreams.push_back(std::make_unique<TestUpstream>(crashable(std::make_shared<std::atomic<bool>>(false))));
         addresses += (index == 0 ? "\"" : ", \"") + upstreams.back()->address() + "\"";
     }
-    const std::string file =
-        (std::filesystem::temp_directory_path() / ("filbertmount-crash-" + std::to_string(getpid()) + ".toml")).string();
-    std::ofstream(file)
-        << "service = \"shop\"\nteam = \"riga\"\n[upstreams]\naddresses = [" << addresses
-        << "]\nslots = 4\n[retries]\nbudget_percent = 100.0\n[[routes]]\nmethod = \"GET\"\npath = \"/**\"\nrepeatable = true\n";
-    InstanceSettings settings;
-    settings.identity.id = InstanceId("entry-1");
-    settings.identity.region = Region("riga");
-    settings.addresses.callers = {.ip = "127.0.0.1"};
-    settings.addresses.administration = {.ip = "127.0.0.1"};
-    settings.addresses.peers = {.ip = "127.0.0.1"};
-    settings.documentFiles = {file};
+    const DocumentFile file(
+        "service = \"shop\"\nteam = \"riga\"\n[upstreams]\naddresses = [" + addresses
+        + "]\nslots = 4\n[retries]\nbudget_percent = 100.0\n[[routes]]\nmethod = \"GET\"\npath = \"/**\"\nrepeatable = true\n");
+    InstanceSettings settings = loopbackSettings();
+    settings.documentFiles = {file.path()};
     const std::unique_ptr<EntryInstance> instance = requireValue([&] {
         return EntryInstance::start(settings);
     });
-    std::remove(file.c_str());
 
     TestMessage answer;
     for (int resend = 0; resend < 5; ++resend) {
