Share the timed task of the two virtual clocks in the tests

Cause: FakeNetwork and the simulation of the fault matrix each defined the same entry of their task queue.

Change: both use tests/support/timedtask.h.

Conclusion: the order of tasks is defined once.

--- a/tests/support/fakenetwork.h
+++ b/tests/support/fakenetwork.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "timedtask.h"
+
 #include <filbertmount/peer/peermessage.h>
 #include <filbertmount/types/ids.h>
 #include <filbertmount/types/instant.h>
@@ -129,7 +131,7 @@
     void runUntil(Instant end)
     {
         while (!m_events.empty() && m_events.top().when <= end) {
-            Event event = m_events.top();
+            TimedTask event = m_events.top();
             m_events.pop();
             m_now = event.when;
             event.task();
@@ -149,19 +151,9 @@
     }
 
 private:
-    struct Event {
-        Instant when;
-        std::uint64_t order = 0;
-        Task task;
-        bool operator<(const Event &other) const
-        {
-            return when != other.when ? when > other.when : order > other.order;
-        }
-    };
-
     void schedule(Instant when, Task task)
     {
-        m_events.push(Event{.when = when, .order = ++m_order, .task = std::move(task)});
+        m_events.push(TimedTask{.when = when, .order = ++m_order, .task = std::move(task)});
     }
     void repeat(const InstanceId &id, Duration interval, Instant next, const Task &task)
     {
@@ -208,7 +200,7 @@
     Instant m_now{};
     std::uint64_t m_order = 0;
     std::uint64_t m_sequence = 0;
-    std::priority_queue<Event> m_events;
+    std::priority_queue<TimedTask> m_events;
     std::map<InstanceId, Receiver> m_receivers;
     std::map<std::string, InstanceId> m_addresses;
     std::set<std::pair<InstanceId, InstanceId>> m_cuts;
--- a/tests/support/faults/simulation.h
+++ b/tests/support/faults/simulation.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../timedtask.h"
+
 #include <filbertmount/types/instant.h>
 
 #include <cstdint>
@@ -76,7 +78,7 @@
     void runUntil(Instant end)
     {
         while (!m_events.empty() && m_events.top().when <= end) {
-            const Event event = m_events.top();
+            const TimedTask event = m_events.top();
             m_events.pop();
             m_now = event.when;
             event.task();
@@ -126,15 +128,6 @@
     }
 
 private:
-    struct Event {
-        Instant when;
-        std::uint64_t order = 0;
-        Task task;
-        bool operator<(const Event &other) const
-        {
-            return when != other.when ? when > other.when : order > other.order;
-        }
-    };
     struct Process {
         std::string name;
         bool alive = true;
@@ -166,7 +159,7 @@
 
     Instant m_now;
     std::mt19937_64 m_random;
-    std::priority_queue<Event> m_events;
+    std::priority_queue<TimedTask> m_events;
     std::uint64_t m_order = 0;
     std::vector<Process> m_processes;
     bool m_tracing;
