Share the byte units of documents and settings

Cause: both parsers defined KibiByte, MebiByte and GibiByte.

Change: the three constants are in src/document/byteunits.h.

--- a/src/document/parseservicedocument.cpp
+++ b/src/document/parseservicedocument.cpp
@@ -1,5 +1,6 @@
 #include <filbertmount/document/parseservicedocument.h>
 
+#include "document/byteunits.h"
 #include "document/documentchecks.h"
 #include "document/tomltable.h"
 
@@ -22,9 +23,6 @@
 constexpr std::size_t MaxRoutes = 200;
 constexpr std::size_t MaxHosts = 50;
 constexpr std::size_t MaxAddresses = 1000;
-constexpr std::int64_t KibiByte = 1024;
-constexpr std::int64_t MebiByte = 1024 * KibiByte;
-constexpr std::int64_t GibiByte = 1024 * MebiByte;
 
 // The list of entry instances is kept under this name, so no service can have it.
 constexpr std::string_view ReservedName = "filbertmount";
--- a/src/settings/parseinstancesettings.cpp
+++ b/src/settings/parseinstancesettings.cpp
@@ -2,6 +2,7 @@
 
 #include <filbertmount/document/parseservicedocument.h>
 
+#include "document/byteunits.h"
 #include "document/documentchecks.h"
 #include "document/tomltable.h"
 
@@ -26,9 +27,6 @@
 constexpr int MaxConnections = 100'000;
 constexpr int MaxEntryInstances = 10'000;
 constexpr std::size_t MaxTokens = 4;
-constexpr std::int64_t KibiByte = 1024;
-constexpr std::int64_t MebiByte = 1024 * KibiByte;
-constexpr std::int64_t GibiByte = 1024 * MebiByte;
 
 InstanceId randomInstanceId()
 {
