--- /dev/null
+++ b/apps/filbertmount-edge/main.cpp
@@ -0,0 +1,163 @@
+#include "edge/edgeserver.h"
+#include "edge/stateservice.h"
+
+#include "httpnames.h"
+#include "storeprotocol.h"
+
+#include <filbertmount/edge/edgesettings.h>
+#include <filbertmount/telemetry/log.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/system/system_error.hpp>
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+using namespace Filbertmount;
+
+struct Arguments {
+    std::string settingsFile;
+    bool checkOnly = false;
+};
+
+Arguments parseArguments(int argc, char **argv)
+{
+    TCLAP::CmdLine line("Entry instance on the platform: routes requests to upstreams. SIGTERM drains and stops, SIGHUP reads "
+                        "the settings again.",
+                        ' ',
+                        FILBERTMOUNT_VERSION);
+    TCLAP::ValueArg<std::string> settings("s", "settings", "settings file (TOML)", true, "", "file", line);
+    TCLAP::SwitchArg check("c", "check", "check the settings, then exit", line);
+    line.parse(argc, argv);
+    return {.settingsFile = settings.getValue(), .checkOnly = check.getValue()};
+}
+
+void openLog(const EdgeSettings &settings)
+{
+    setUpLog({.level = settings.logLevel, .instance = settings.name, .output = LogOutput::StandardOutput});
+}
+
+/** Applies the settings that may change while the process runs. */
+void reload(const std::string &file)
+{
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(settings, readEdgeSettings(file));
+            openLog(settings);
+            logLine(LogLevel::Info, "settings read again");
+            return {};
+        },
+        [](const Failure &failure) {
+            logLine(LogLevel::Error, "the settings in force stay", {{.name = "error", .value = describe(failure)}});
+        },
+        [] {
+            logLine(LogLevel::Error, "the settings in force stay", {{.name = "error", .value = std::string("unknown")}});
+        });
+}
+
+std::string entryName(std::string peerAddress)
+{
+    std::replace(peerAddress.begin(), peerAddress.end(), ':', '-');
+    return peerAddress;
+}
+
+/** Waits for signals again and again until the server has shut down. */
+class SignalHandling
+{
+public:
+    SignalHandling(IoLoop &loop, EdgeServer &server, std::string settingsFile)
+        : m_loop(loop)
+        , m_server(server)
+        , m_settingsFile(std::move(settingsFile))
+        , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
+    {
+        wait();
+    }
+
+private:
+    void wait()
+    {
+        m_signals.async_wait([this](const error_code &error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                reload(m_settingsFile);
+            } else {
+                m_server.shutDown([this] {
+                    m_loop.stop();
+                });
+            }
+            wait();
+        });
+    }
+
+    IoLoop &m_loop;
+    EdgeServer &m_server;
+    std::string m_settingsFile;
+    Asio::signal_set m_signals;
+};
+
+Result<void> run(const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(settings, readEdgeSettings(arguments.settingsFile));
+    if (arguments.checkOnly) {
+        return {};
+    }
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(concurrency-mt-unsafe): no other thread runs yet.
+    openLog(settings);
+    IoLoop loop(1);
+    EdgeServer server(loop, settings, Platform::httpDialect());
+    StateService<Platform::StoreProtocol> state(loop,
+                                                Platform::StoreProtocol(),
+                                                {.calls = {.store = *toTcpEndpoint(settings.store.text())},
+                                                 .instanceName = entryName(server.peerAddress()),
+                                                 .instance = {.peerAddress = server.peerAddress()}},
+                                                server.mirror(),
+                                                server.metrics(),
+                                                [&server](const MirrorChanges &changes) {
+                                                    server.onStateChange(changes);
+                                                });
+    server.setWakeHandler([&state] {
+        state.readAgain();
+    });
+    const SignalHandling signals(loop, server, arguments.settingsFile);
+    state.start();
+    logLine(LogLevel::Info,
+            "started",
+            {{.name = "version", .value = std::string(FILBERTMOUNT_VERSION)},
+             {.name = "callers", .value = settings.callers.text()},
+             {.name = "zone", .value = settings.zone.value()}});
+    loop.run();
+    logLine(LogLevel::Info, "stopped");
+    return {};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Arguments arguments = parseArguments(argc, argv);
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<int> {
+            try {
+                BOOST_LEAF_CHECK(run(arguments));
+            } catch (const boost::system::system_error &error) {
+                return boost::leaf::new_error(Failure{.step = Step::Connect, .peer = "own address", .reason = error.what()});
+            }
+            return 0;
+        },
+        [](const Failure &failure) {
+            std::cerr << "filbertmount-edge: " << describe(failure) << "\n";
+            return 1;
+        },
+        [] {
+            std::cerr << "filbertmount-edge: unknown error\n";
+            return 1;
+        });
+}
--- a/include/filbertmount/document/servicedocument.h
+++ b/include/filbertmount/document/servicedocument.h
@@ -59,6 +59,8 @@
     double budgetPercent = 10.0;
     /** Highest number of attempts of one request at this level, the first included. */
     int attempts = 3;
+    /** Retries that may follow each other at once after a quiet time, per entry instance. */
+    double largestBurst = 20;
 };
 
 struct HedgingSettings {
--- /dev/null
+++ b/include/filbertmount/routes/splitselector.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <filbertmount/routes/routeset.h>
+
+#include <random>
+#include <string>
+
+namespace Filbertmount {
+
+/**
+ * Distributes the requests of routes with several targets by smooth weighted round robin, so that every run of requests
+ * is close to the weights. Not thread-safe.
+ *
+ * Each instance starts at a random point of the sequence: instances that see few requests each would otherwise all begin
+ * with the target of the highest weight.
+ */
+class SplitSelector
+{
+public:
+    explicit SplitSelector(std::uint64_t seed);
+
+    /** Returns the target of the next request on @p route. */
+    const ServiceName &next(const ForwardRoute &route);
+
+    /** Forgets routes that are not in @p routes. */
+    void retain(const RouteSet &routes);
+
+private:
+    struct Sequence {
+        std::vector<ForwardTarget> targets;
+        /** Credit of each target; the highest is next. */
+        std::vector<int> credits;
+    };
+
+    Sequence &sequenceOf(const ForwardRoute &route);
+    static std::size_t advance(Sequence &sequence);
+
+    std::mt19937_64 m_random;
+    absl::flat_hash_map<std::string, Sequence> m_sequences;
+};
+
+} // namespace Filbertmount
--- a/include/filbertmount/routing/placement.h
+++ b/include/filbertmount/routing/placement.h
@@ -8,6 +8,7 @@
 #include <absl/functional/any_invocable.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -80,10 +81,21 @@
     Unused,
 };
 
+/** What an upstream says of its load in an answer. */
+struct UpstreamLoad {
+    int running = 0;
+    int waiting = 0;
+    int slots = 0;
+    /** Time that work takes on the upstream's machine at this moment, relative to the usual; nothing when not stated. */
+    std::optional<double> pace;
+};
+
 struct AttemptReport {
     AttemptOutcome outcome = AttemptOutcome::Unused;
     /** From the first byte sent to the last byte received. */
     Duration serviceTime{0};
+    /** Pace that the upstream stated in its answer. */
+    std::optional<double> pace;
 };
 
 } // namespace Filbertmount
--- a/include/filbertmount/routing/retrybudget.h
+++ b/include/filbertmount/routing/retrybudget.h
@@ -15,6 +15,8 @@
     explicit RetryBudget(double percent);
 
     void setPercent(double percent);
+    /** Bounds the retries that may follow each other at once after a quiet time. */
+    void setLargestBurst(double tokens);
     void noteFirstAttempt();
     /** Takes one token; returns false when there is none. */
     bool take();
@@ -23,6 +25,7 @@
 
 private:
     double m_percent;
+    double m_largestBurst = 20;
     double m_tokens = 1;
 };
 
--- a/include/filbertmount/routing/router.h
+++ b/include/filbertmount/routing/router.h
@@ -94,6 +94,11 @@
      */
     bool takeHedge(const ServiceName &service);
 
+    /** Takes into account what an upstream says of its load outside of an attempt, such as to a probe. */
+    void recordPace(const ServiceName &service, const UpstreamId &upstream, double pace);
+    /** Usable upstreams of services that this instance dispatches and whose pace is unknown or older than @p age. */
+    [[nodiscard]] std::vector<std::pair<ServiceName, RoutedUpstream>> upstreamsToMeasure(Duration age) const;
+
     /** Handles what is due. Call every few milliseconds. */
     void tick(Instant now);
 
--- a/include/filbertmount/routing/servicerouter.h
+++ b/include/filbertmount/routing/servicerouter.h
@@ -53,6 +53,8 @@
     void handle(MemberIndex from, const SlotMessage &message, Instant now, ServiceRouterOutput &output);
     /** A grant of an upstream that is not in the table. */
     void handleUnknownUpstream(MemberIndex from, const SlotGrant &grant, Instant now, ServiceRouterOutput &output);
+    /** Takes into account how fast an upstream says that it works. */
+    void recordPace(UpstreamIndex index, double pace, Instant now, ServiceRouterOutput &output);
     /** Call every millisecond or few. */
     void tick(Instant now, ServiceRouterOutput &output);
 
--- a/include/filbertmount/routing/upstreamtable.h
+++ b/include/filbertmount/routing/upstreamtable.h
@@ -56,6 +56,11 @@
     /** Takes into account that an attempt has run for @p elapsed and has not ended. */
     void recordOverdue(UpstreamIndex index, Duration elapsed, Instant now);
 
+    /** Takes into account how fast the upstream says that it works at this moment, 1 being the usual. */
+    void recordPace(UpstreamIndex index, double pace, Instant now);
+    /** When the upstream last stated its pace; nothing when it never did. */
+    [[nodiscard]] std::optional<Instant> lastPace(UpstreamIndex index) const;
+
     /** Moves cold starts and ejections on; call every few milliseconds to 100 ms. */
     void tick(Instant now);
 
@@ -67,7 +72,7 @@
     [[nodiscard]] std::size_t usableCount() const;
     /** Sum of the limits of upstreams that are not stragglers. */
     [[nodiscard]] int fastLimit() const;
-    /** Recent service time relative to that of the whole service; 1 when not known. */
+    /** Expected service time relative to that of the whole service at the usual pace; 1 when nothing is known. */
     [[nodiscard]] double slowness(UpstreamIndex index) const;
     /** Mean service time of the service; zero before the first success. */
     [[nodiscard]] Duration meanServiceTime() const;
@@ -87,6 +92,8 @@
         /** Smoothed natural logarithm of service time over the service's; 0 is average. */
         double logSlowness = 0;
         Instant lastSample{};
+        std::optional<double> pace;
+        Instant paceAt{};
         int failuresInRow = 0;
         int ejectionsInRow = 0;
         std::optional<Instant> ejectedUntil;
@@ -102,6 +109,7 @@
     void eject(UpstreamIndex index, Instant now);
     [[nodiscard]] bool mayEject() const;
     [[nodiscard]] int currentLimit(const Entry &entry, Instant now) const;
+    [[nodiscard]] double paceOf(const Entry &entry, Instant now) const;
     void refresh(UpstreamIndex index, Instant now);
 
     UpstreamTableOptions m_options;
@@ -116,6 +124,8 @@
     /** Smoothed mean in seconds and mean of the logarithm of service times, over all upstreams. */
     double m_meanSeconds = 0;
     double m_meanLog = 0;
+    /** Smoothed mean of the stated paces; stands for the pace of upstreams that stated none lately. */
+    double m_meanPace = 1;
     std::uint64_t m_samples = 0;
     Instant m_lastTick{};
 };
--- a/include/filbertmount/telemetry/log.h
+++ b/include/filbertmount/telemetry/log.h
@@ -21,14 +21,22 @@
     std::variant<std::string, std::int64_t, double, bool> value;
 };
 
+enum class LogOutput : std::uint8_t {
+    StandardError,
+    /** Never blocks and is bounded: lines that the reader is too slow for, or that exceed the rate, are counted instead. */
+    StandardOutput,
+};
+
 struct LogOptions {
     LogLevel level = LogLevel::Info;
     /** Written to each line as "instance"; left out when empty. */
     std::string instance;
+    /** Where lines go; fixed by the first call of setUpLog. */
+    LogOutput output = LogOutput::StandardError;
 };
 
 /**
- * Sends log lines to standard error from now on. Before this call nothing is logged.
+ * Writes log lines from now on. Before this call nothing is logged.
  * May be called again to change the options.
  */
 void setUpLog(const LogOptions &options);
--- a/src/admin/adminanswers.cpp
+++ b/src/admin/adminanswers.cpp
@@ -103,7 +103,9 @@
 
 std::string etagOf(Revision revision)
 {
-    return "\"" + std::to_string(revision.value()) + "\"";
+    std::string tag(1, '"');
+    tag.append(std::to_string(revision.value())).append(1, '"');
+    return tag;
 }
 
 } // namespace Filbertmount
--- /dev/null
+++ b/src/edge/attemptverdict.cpp
@@ -0,0 +1,81 @@
+#include <filbertmount/edge/attemptverdict.h>
+
+namespace Filbertmount {
+
+namespace {
+
+// A retry with less time than this only adds load: no upstream answers that fast.
+constexpr Duration ShortestRetry = std::chrono::milliseconds(20);
+
+bool provesNotRun(AttemptEnd end)
+{
+    return end == AttemptEnd::NotRun || end == AttemptEnd::WrongUpstream || end == AttemptEnd::NotSent;
+}
+
+} // namespace
+
+std::string_view attemptEndName(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return "answered";
+    case AttemptEnd::Failed:
+        return "failed";
+    case AttemptEnd::NotRun:
+        return "not-run";
+    case AttemptEnd::WrongUpstream:
+        return "wrong-upstream";
+    case AttemptEnd::NotSent:
+        return "not-sent";
+    case AttemptEnd::Broken:
+        return "broken";
+    case AttemptEnd::TimedOut:
+        return "timed-out";
+    }
+    return "unknown";
+}
+
+NextStep nextStep(AttemptEnd end, const RemainingEffort &effort, bool mayHaveRun)
+{
+    if (end == AttemptEnd::Answered) {
+        return NextStep::Deliver;
+    }
+    const bool mayRunAgain = effort.isRepeatable || (provesNotRun(end) && !mayHaveRun);
+    if (end != AttemptEnd::TimedOut && mayRunAgain && effort.attempts > 0 && effort.timeLeft >= ShortestRetry) {
+        return NextStep::Retry;
+    }
+    return nextStepWithoutRetry(end, mayHaveRun);
+}
+
+NextStep nextStepWithoutRetry(AttemptEnd end, bool mayHaveRun)
+{
+    if (end == AttemptEnd::Failed) {
+        return NextStep::Deliver;
+    }
+    if (end == AttemptEnd::TimedOut) {
+        return NextStep::FailTimedOut;
+    }
+    return provesNotRun(end) && !mayHaveRun ? NextStep::RefuseNotRun : NextStep::FailMayHaveRun;
+}
+
+AttemptOutcome outcomeOf(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return AttemptOutcome::Success;
+    case AttemptEnd::Failed:
+        return AttemptOutcome::ServerError;
+    case AttemptEnd::NotRun:
+        return AttemptOutcome::RefusedShedding;
+    case AttemptEnd::WrongUpstream:
+    case AttemptEnd::NotSent:
+        return AttemptOutcome::ConnectFailed;
+    case AttemptEnd::Broken:
+        return AttemptOutcome::Broken;
+    case AttemptEnd::TimedOut:
+        return AttemptOutcome::TimedOut;
+    }
+    return AttemptOutcome::Unused;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/callerhandler.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "edge/forwardedcall.h"
+#include "edge/serversession.h"
+
+#include <memory>
+
+namespace Filbertmount {
+
+/** Answers the requests of callers: finds the route of each one and forwards it. Lives on the IoLoop. */
+class CallerHandler : public RequestHandler
+{
+public:
+    CallerHandler(CallContext &context, std::uint64_t seed);
+
+    /** Requests that arrive from now on follow @p routes. */
+    void setRoutes(std::shared_ptr<const RouteIndex> routes);
+    /** Answers end their connections from now on. */
+    void startDraining();
+
+    std::shared_ptr<ActiveRequest> handle(ServerRequest request, AnswerHandler answer) override;
+    [[nodiscard]] CallerLimits limits() const override;
+    [[nodiscard]] bool isDraining() const override;
+    void noteUnreadable(const std::string &client, int status, const std::string &reason) override;
+
+private:
+    void answerOwn(const ServerRequest &request, AnswerHandler &answer, ServerAnswer own, const std::string &reason);
+    [[nodiscard]] Instant deadlineOf(const ServerRequest &request, const ForwardRoute &route) const;
+    [[nodiscard]] Priority priorityOf(const ForwardRoute &route, const ServiceName &service) const;
+
+    CallContext &m_context;
+    std::shared_ptr<const RouteIndex> m_routes;
+    /** Rank of the most urgent routes of each service. */
+    absl::flat_hash_map<ServiceName, int> m_urgentRank;
+    SplitSelector m_split;
+    bool m_isDraining = false;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/clientconnection.cpp
@@ -0,0 +1,276 @@
+#include "edge/clientconnection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+namespace Http = boost::beast::http;
+
+constexpr std::uint32_t LargestAnswerHeader = 64U << 10U;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned SwitchingProtocols = 101;
+
+Headers headersOf(const Http::fields &fields)
+{
+    Headers headers;
+    for (const auto &field : fields) {
+        headers.push_back({.name = std::string(field.name_string()), .value = std::string(field.value())});
+    }
+    return headers;
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(IoLoop &loop, Tcp::endpoint server)
+    : m_loop(loop)
+    , m_server(std::move(server))
+    , m_socket(loop)
+    , m_timer(loop)
+{
+}
+
+bool ClientConnection::isReusable() const
+{
+    return !m_isClosed && !m_isBusy && m_mayReuse && m_isConnected;
+}
+
+bool ClientConnection::isNew() const
+{
+    return !m_wasUsed;
+}
+
+Instant ClientConnection::idleSince() const
+{
+    return m_idleSince;
+}
+
+std::optional<Duration> ClientConnection::serverIdleTimeout() const
+{
+    return m_serverIdleTimeout;
+}
+
+void ClientConnection::exchange(ExchangeOptions options, Handler handler)
+{
+    m_options = std::move(options);
+    m_handler = std::move(handler);
+    m_isBusy = true;
+    m_deadline = ProcessClock::now() + m_options.timeout;
+    startParser();
+    if (m_isConnected) {
+        send();
+    } else {
+        connect();
+    }
+}
+
+void ClientConnection::startTimer(Duration timeout, ExchangeEnd end, const char *reason)
+{
+    m_timer.expires_after(std::max(timeout, Duration::zero()));
+    m_timer.async_wait([self = shared_from_this(), end, reason](const error_code &error) {
+        if (!error) {
+            self->finish(end, reason);
+        }
+    });
+}
+
+void ClientConnection::connect()
+{
+    startTimer(std::min(m_options.connectTimeout, m_options.timeout), ExchangeEnd::ConnectFailed, "connecting timed out");
+    m_socket.async_connect(m_server, [self = shared_from_this()](const error_code &error) {
+        if (self->m_isClosed) {
+            return;
+        }
+        if (error) {
+            self->finish(ExchangeEnd::ConnectFailed, error.message());
+            return;
+        }
+        self->m_isConnected = true;
+        tuneSocket(self->m_socket);
+        self->read();
+        self->send();
+    });
+}
+
+void ClientConnection::send()
+{
+    m_wasUsed = true;
+    m_sentAt = ProcessClock::now();
+    m_isSending = true;
+    startTimer(m_deadline - m_sentAt, ExchangeEnd::TimedOut, "no whole answer in time");
+    Asio::async_write(
+        m_socket, Asio::buffer(m_options.request), [self = shared_from_this()](const error_code &error, std::size_t /*bytes*/) {
+            self->m_isSending = false;
+            if (error) {
+                // An answer may have been sent before the connection ended; the reader finds out.
+                self->m_mayReuse = false;
+            }
+        });
+}
+
+void ClientConnection::read()
+{
+    m_socket.async_read_some(Asio::buffer(m_buffer), [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+        self->onRead(error, bytes);
+    });
+}
+
+void ClientConnection::onRead(const error_code &error, std::size_t bytes)
+{
+    if (m_isClosed) {
+        return;
+    }
+    if (error) {
+        onEnd(error);
+        return;
+    }
+    if (!m_isBusy) {
+        close();
+        return;
+    }
+    m_received.append(m_buffer.data(), bytes);
+    parse();
+    if (!m_isClosed) {
+        read();
+    }
+}
+
+void ClientConnection::startParser()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->skip(m_options.isHead);
+    m_parser->header_limit(LargestAnswerHeader);
+    m_parser->body_limit(boost::none);
+}
+
+void ClientConnection::parse()
+{
+    while (m_isBusy && !m_received.empty()) {
+        error_code error;
+        const std::size_t used = m_parser->put(Asio::buffer(m_received), error);
+        m_received.erase(0, used);
+        if (error == Http::error::need_more) {
+            return;
+        }
+        if (error) {
+            finish(ExchangeEnd::Malformed, error.message());
+            return;
+        }
+        if (!m_parser->is_done()) {
+            return;
+        }
+        if (takeAnswer()) {
+            return;
+        }
+    }
+}
+
+/** Returns true when the exchange is over, false when the answer was an interim one or belongs to another request. */
+bool ClientConnection::takeAnswer()
+{
+    const unsigned status = m_parser->get().result_int();
+    if (status == SwitchingProtocols) {
+        finish(ExchangeEnd::Malformed, "the server switched protocols");
+        return true;
+    }
+    if (status < FirstFinalStatus) {
+        startParser();
+        return false;
+    }
+    Headers headers = headersOf(m_parser->get());
+    const bool isKept = m_parser->keep_alive() && !m_parser->need_eof();
+    if (m_options.isOurs && !m_options.isOurs(headers)) {
+        m_mayReuse = false;
+        if (!isKept) {
+            finish(ExchangeEnd::Malformed, "the answer belongs to another request");
+            return true;
+        }
+        startParser();
+        return false;
+    }
+    // A server that answers before it has read the whole request would take the rest for the next one.
+    m_mayReuse = m_mayReuse && isKept && !m_isSending && m_received.empty();
+    noteKeepAlive(headers);
+    ExchangeResult result{
+        .end = ExchangeEnd::Answered,
+        .answer = {.status = static_cast<int>(status), .headers = std::move(headers), .body = std::move(m_parser->get().body())}};
+    m_isBusy = false;
+    m_idleSince = ProcessClock::now();
+    result.elapsed = m_idleSince - m_sentAt;
+    m_timer.cancel();
+    m_parser.reset();
+    Handler handler = std::move(m_handler);
+    if (!m_mayReuse) {
+        close();
+    }
+    handler(std::move(result));
+    return true;
+}
+
+void ClientConnection::noteKeepAlive(const Headers &headers)
+{
+    constexpr std::string_view Prefix = "timeout=";
+    const std::string *value = findHeader(headers, "Keep-Alive");
+    const std::size_t start = value == nullptr ? std::string::npos : value->find(Prefix);
+    if (start == std::string::npos) {
+        return;
+    }
+    std::string_view digits = std::string_view(*value).substr(start + Prefix.size());
+    digits = digits.substr(0, std::min(digits.find_first_not_of("0123456789"), digits.size()));
+    if (const std::optional<std::int64_t> seconds = parseNumber(digits)) {
+        m_serverIdleTimeout = std::chrono::seconds(*seconds);
+    }
+}
+
+void ClientConnection::onEnd(const error_code &error)
+{
+    if (!m_isBusy) {
+        close();
+        return;
+    }
+    const bool endedInOrder = error == Asio::error::eof;
+    if (endedInOrder && m_parser->is_header_done() && m_parser->need_eof()) {
+        error_code ending;
+        m_parser->put_eof(ending);
+        if (!ending && m_parser->is_done()) {
+            m_mayReuse = false;
+            if (!takeAnswer()) {
+                finish(ExchangeEnd::Broken, "the connection ended");
+            }
+            return;
+        }
+    }
+    finish(ExchangeEnd::Broken, error.message());
+}
+
+void ClientConnection::finish(ExchangeEnd end, std::string reason)
+{
+    if (!m_isBusy) {
+        return;
+    }
+    Handler handler = std::move(m_handler);
+    const Duration elapsed = m_sentAt == Instant{} ? Duration::zero() : ProcessClock::now() - m_sentAt;
+    const std::shared_ptr<ClientConnection> self = shared_from_this();
+    close();
+    handler({.end = end, .answer = {}, .reason = std::move(reason), .elapsed = elapsed});
+}
+
+void ClientConnection::close()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_isClosed = true;
+    m_isBusy = false;
+    m_handler = nullptr;
+    m_timer.cancel();
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/edgeserver.cpp
@@ -0,0 +1,294 @@
+#include "edge/edgeserver.h"
+
+#include <filbertmount/telemetry/log.h>
+
+#include <absl/random/random.h>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(5);
+constexpr std::uint64_t TicksPerProbe = 4;
+constexpr std::uint64_t TicksPerMaintenance = 40;
+// A process that did not run for this long was suspended or starved; what it knows may be old.
+constexpr Duration StoodStill = std::chrono::milliseconds(700);
+// The balancer takes an instance out after two failed checks, one second apart; until then it sends new connections.
+constexpr Duration BalancerNotice = std::chrono::milliseconds(2600);
+// The process ends this long before the platform would kill it.
+constexpr Duration ShutdownMargin = std::chrono::milliseconds(400);
+// Descriptors that are not for callers: upstreams, the store, files.
+constexpr int ReservedDescriptors = 1200;
+constexpr int FewestSessions = 64;
+constexpr double PercentPerShare = 100.0;
+// Half of the allowed share: instances count their requests apart, and the bound holds for each window.
+constexpr double UsedShare = 0.5;
+constexpr double LargestRetryBurst = 2.0;
+constexpr std::size_t ServicePortSessions = 32;
+
+const char *Cluster = "fm";
+
+std::uint64_t randomSeed()
+{
+    absl::BitGen random;
+    return absl::Uniform<std::uint64_t>(random);
+}
+
+Member selfMember(const EdgeSettings &settings)
+{
+    constexpr std::size_t RunDigits = 6;
+    // A restarted process is a new member; the name stays in front for the reader of a log.
+    const std::string run = std::to_string(randomSeed()).substr(0, RunDigits);
+    return {.id = InstanceId(settings.name + "/" + run),
+            .peerAddress = settings.ip + ":" + std::to_string(settings.peerPort),
+            .adminAddress = {},
+            .zone = settings.zone,
+            .region = settings.region};
+}
+
+Tcp::endpoint listenAddress(const Endpoint &endpoint)
+{
+    return *toTcpEndpoint(endpoint.text());
+}
+
+std::size_t sessionLimit(const EdgeSettings &settings)
+{
+    return static_cast<std::size_t>(std::max(FewestSessions, settings.descriptors - ReservedDescriptors));
+}
+
+} // namespace
+
+EdgeServer::EdgeServer(IoLoop &loop, EdgeSettings settings, HttpDialect dialect)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_dialect(std::move(dialect))
+    , m_fleet(loop, {.cluster = Cluster, .self = selfMember(m_settings), .seed = randomSeed()}, m_metrics)
+    , m_router({.self = selfMember(m_settings).id, .zone = m_settings.zone, .send = m_fleet.sender(), .seed = randomSeed()})
+    , m_pool(loop)
+    , m_probes(loop, m_dialect, m_router, m_metrics)
+    , m_context{.loop = loop,
+                .dialect = m_dialect,
+                .router = m_router,
+                .pool = m_pool,
+                .metrics = m_metrics,
+                .onWrongUpstream =
+                    [this](const ServiceName &service, const UpstreamId &upstream) {
+                        dropUpstream(service, upstream);
+                    }}
+    , m_handler(m_context, randomSeed())
+    , m_readiness(m_dialect.readinessPath,
+                  [this]() -> ServerAnswer {
+                      return {.status = isReady() ? 200 : 503};
+                  })
+    , m_exposition("/metrics",
+                   [this]() -> ServerAnswer {
+                       return {.headers = {{.name = "Content-Type", .value = "text/plain; version=0.0.4"}},
+                               .body = m_metrics.exposition()};
+                   })
+    , m_callers(loop, listenAddress(m_settings.callers), m_handler, sessionLimit(m_settings))
+    , m_readinessPort(loop, listenAddress(m_settings.readiness), m_readiness, ServicePortSessions)
+    , m_metricsPort(
+          loop,
+          Tcp::endpoint(listenAddress(m_settings.callers).address(), static_cast<std::uint16_t>(m_settings.metricsPort)),
+          m_exposition,
+          ServicePortSessions)
+    , m_ticker(loop,
+               TickInterval,
+               [this] {
+                   tick();
+               })
+    , m_lastTick(ProcessClock::now())
+{
+    m_fleet.connect(m_router);
+}
+
+StateMirror &EdgeServer::mirror()
+{
+    return m_mirror;
+}
+
+Metrics &EdgeServer::metrics()
+{
+    return m_metrics;
+}
+
+std::string EdgeServer::peerAddress() const
+{
+    return m_settings.ip + ":" + std::to_string(m_settings.peerPort);
+}
+
+void EdgeServer::setWakeHandler(std::function<void()> handler)
+{
+    m_onWake = std::move(handler);
+}
+
+bool EdgeServer::isReady() const
+{
+    return !m_onShutDown && m_mirror.routes() != nullptr && m_mirror.revision(StateKind::Upstreams).has_value();
+}
+
+void EdgeServer::tick()
+{
+    const Instant now = ProcessClock::now();
+    const Duration gap = now - m_lastTick;
+    m_lastTick = now;
+    if (gap > StoodStill) {
+        logLine(LogLevel::Warning,
+                "the process stood still; reading the store again",
+                {{.name = "gap_ms", .value = std::chrono::duration<double, std::milli>(gap).count()}});
+        if (m_onWake) {
+            m_onWake();
+        }
+    }
+    m_fleet.tick(now);
+    m_router.tick(now);
+    ++m_ticks;
+    if (m_ticks % TicksPerProbe == 0 && !m_onShutDown) {
+        m_probes.tick(now);
+    }
+    if (m_ticks % TicksPerMaintenance == 0) {
+        m_pool.closeExpired(now);
+        onStateChange(m_mirror.tick(now));
+    }
+    if (m_onShutDown) {
+        checkShutdown();
+    }
+}
+
+void EdgeServer::onStateChange(const MirrorChanges &changes)
+{
+    for (const auto &[name, reason] : changes.rejected) {
+        logLine(LogLevel::Warning,
+                "an object of the store cannot be used",
+                {{.name = "object", .value = name}, {.name = "reason", .value = reason}});
+    }
+    if (changes.routes) {
+        applyRoutes();
+    }
+    if (changes.upstreams) {
+        applyUpstreams();
+    }
+    if (changes.instances) {
+        applyInstances();
+    }
+}
+
+void EdgeServer::applyRoutes()
+{
+    const std::shared_ptr<const RouteIndex> routes = m_mirror.routes();
+    logLine(LogLevel::Info,
+            "routes in force",
+            {{.name = "version", .value = static_cast<std::int64_t>(routes->version().value())},
+             {.name = "routes", .value = static_cast<std::int64_t>(routes->routes().routes.size())},
+             {.name = "revision",
+              .value = static_cast<std::int64_t>(m_mirror.revision(StateKind::Routes).value_or(Revision()).value())}});
+    m_handler.setRoutes(routes);
+    m_probes.setRoutes(routes->routes());
+    m_services.clear();
+    for (const ServiceAccess &service : routes->routes().services) {
+        m_services.push_back(service.name);
+    }
+    configureServices();
+}
+
+double EdgeServer::retryBurst() const
+{
+    const double instances = std::max<double>(1, static_cast<double>(m_mirror.instances().size()));
+    return std::clamp(m_settings.retries.extra * UsedShare / instances, 1.0, LargestRetryBurst);
+}
+
+void EdgeServer::configureServices()
+{
+    const RetrySettings retries{.budgetPercent = m_settings.retries.share * UsedShare * PercentPerShare,
+                                .largestBurst = retryBurst()};
+    for (const ServiceName &service : m_services) {
+        m_router.configure(service, {.retries = retries});
+    }
+}
+
+void EdgeServer::applyUpstreams()
+{
+    absl::flat_hash_map<ServiceName, std::vector<RoutedUpstream>> byService;
+    for (const ServiceName &service : m_services) {
+        byService[service];
+    }
+    std::int64_t ready = 0;
+    for (const UpstreamRecord &record : m_mirror.upstreams()) {
+        std::vector<RoutedUpstream> &list = byService[record.service];
+        if (record.isDraining) {
+            continue;
+        }
+        ++ready;
+        list.push_back({.id = record.id,
+                        .address = record.address,
+                        .zone = record.zone,
+                        .slots = record.slots,
+                        .incarnation = record.incarnation});
+    }
+    for (const auto &[service, upstreams] : byService) {
+        m_router.updateUpstreams(service, upstreams);
+    }
+    logLine(LogLevel::Info,
+            "upstreams in force",
+            {{.name = "ready", .value = ready},
+             {.name = "revision",
+              .value = static_cast<std::int64_t>(m_mirror.revision(StateKind::Upstreams).value_or(Revision()).value())}});
+}
+
+void EdgeServer::applyInstances()
+{
+    std::vector<std::string> addresses;
+    for (const auto &[name, object] : m_mirror.instances()) {
+        addresses.push_back(std::get<InstanceRecord>(object.value).peerAddress);
+    }
+    m_fleet.setKnownAddresses(std::move(addresses));
+    configureServices();
+}
+
+void EdgeServer::dropUpstream(const ServiceName &service, const UpstreamId &upstream)
+{
+    logLine(LogLevel::Info,
+            "another upstream has the address",
+            {{.name = "service", .value = service.value()}, {.name = "upstream", .value = upstream.value()}});
+    m_pool.forget(upstream);
+    m_router.setUpstreamState(service, upstream, UpstreamState::Down);
+}
+
+void EdgeServer::shutDown(std::function<void()> done)
+{
+    if (m_onShutDown) {
+        return;
+    }
+    m_onShutDown = std::move(done);
+    m_shutdownStarted = ProcessClock::now();
+    m_handler.startDraining();
+    m_fleet.leave();
+    logLine(
+        LogLevel::Info, "shutting down", {{.name = "unanswered", .value = static_cast<std::int64_t>(m_callers.unanswered())}});
+}
+
+void EdgeServer::checkShutdown()
+{
+    const Duration elapsed = ProcessClock::now() - m_shutdownStarted;
+    const bool isLast = elapsed >= m_settings.shutdownGrace - ShutdownMargin;
+    if (elapsed < BalancerNotice && !isLast) {
+        return;
+    }
+    m_callers.stopAccepting();
+    m_callers.drainIdle();
+    const std::size_t unanswered = m_callers.unanswered();
+    if (!isLast && (unanswered > 0 || m_callers.sessions() > 0)) {
+        return;
+    }
+    logLine(LogLevel::Info,
+            "shut down",
+            {{.name = "unanswered", .value = static_cast<std::int64_t>(unanswered)},
+             {.name = "elapsed_ms", .value = std::chrono::duration<double, std::milli>(elapsed).count()}});
+    m_callers.closeAll();
+    const std::function<void()> done = m_onShutDown;
+    done();
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/edgeserver.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "edge/callerhandler.h"
+#include "edge/fleet.h"
+#include "edge/listener.h"
+#include "edge/probeloop.h"
+#include "edge/servicehandler.h"
+
+#include <filbertmount/edge/edgesettings.h>
+#include <filbertmount/edge/httpdialect.h>
+#include <filbertmount/edge/statemirror.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Filbertmount {
+
+/** One entry instance: its ports, its parts and their order at start and shutdown. Lives on the IoLoop. */
+class EdgeServer
+{
+public:
+    /** @throws boost::system::system_error when an address cannot be listened on */
+    EdgeServer(IoLoop &loop, EdgeSettings settings, HttpDialect dialect);
+
+    [[nodiscard]] StateMirror &mirror();
+    [[nodiscard]] Metrics &metrics();
+    [[nodiscard]] std::string peerAddress() const;
+
+    /** Applies what changed in the mirror. */
+    void onStateChange(const MirrorChanges &changes);
+    /** Calls @p handler after the process stood still for a while, since all it knows may be old. */
+    void setWakeHandler(std::function<void()> handler);
+    /** Stops being ready, finishes what is in progress and calls @p done, at the latest when the grace ends. */
+    void shutDown(std::function<void()> done);
+    [[nodiscard]] bool isReady() const;
+
+private:
+    void tick();
+    void applyRoutes();
+    void applyUpstreams();
+    void applyInstances();
+    void configureServices();
+    void dropUpstream(const ServiceName &service, const UpstreamId &upstream);
+    void checkShutdown();
+    [[nodiscard]] double retryBurst() const;
+
+    IoLoop &m_loop;
+    EdgeSettings m_settings;
+    HttpDialect m_dialect;
+    Metrics m_metrics;
+    StateMirror m_mirror;
+    Fleet m_fleet;
+    Router m_router;
+    UpstreamPool m_pool;
+    ProbeLoop m_probes;
+    CallContext m_context;
+    CallerHandler m_handler;
+    ServiceHandler m_readiness;
+    ServiceHandler m_exposition;
+    Listener m_callers;
+    Listener m_readinessPort;
+    Listener m_metricsPort;
+    PeriodicTask m_ticker;
+    std::vector<ServiceName> m_services;
+    std::function<void()> m_onWake;
+    std::function<void()> m_onShutDown;
+    Instant m_shutdownStarted{};
+    Instant m_lastTick;
+    std::uint64_t m_ticks = 0;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/edgesettings.cpp
@@ -0,0 +1,148 @@
+#include <filbertmount/edge/edgesettings.h>
+
+#include "document/documentchecks.h"
+#include "document/tomltable.h"
+#include "settings/settingschecks.h"
+
+namespace Filbertmount {
+
+namespace {
+
+constexpr int HighestPort = 65535;
+constexpr int FewestDescriptors = 64;
+constexpr int MostDescriptors = 1 << 20;
+constexpr double LongestSeconds = 3600;
+constexpr double LargestExtra = 1e6;
+
+Duration toDuration(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+void requireText(TomlTable &table, std::string_view key, const std::string &expected, std::string &target, const TextCheck &check)
+{
+    if (!table.has(key)) {
+        table.reportMissing(key, expected);
+        return;
+    }
+    table.readText(key, target, check);
+}
+
+void requireNumber(TomlTable &table, std::string_view key, const std::string &expected, double &target, Range<double> range)
+{
+    if (!table.has(key)) {
+        table.reportMissing(key, expected);
+        return;
+    }
+    table.readNumber(key, target, range);
+}
+
+void requirePort(TomlTable &table, std::string_view key, int &target)
+{
+    if (!table.has(key)) {
+        table.reportMissing(key, "a port from 1 to 65535");
+        return;
+    }
+    table.readInteger(key, target, {.lowest = 1, .highest = HighestPort});
+}
+
+Endpoint requireAddress(TomlTable &table, std::string_view key, const TextCheck &check)
+{
+    std::string text;
+    requireText(table, key, "\"IP:port\"", text, check);
+    return parseEndpoint(text).value_or(Endpoint());
+}
+
+std::string checkIp(const std::string &text)
+{
+    const std::optional<Endpoint> endpoint = parseEndpoint(text + ":1");
+    return endpoint && !endpoint->wildcard() ? std::string() : "the IP address at which other instances reach this one";
+}
+
+void readInstance(TomlTable &table, EdgeSettings &settings)
+{
+    std::string zone;
+    std::string region;
+    requireText(table, "name", "the name of the machine", settings.name, checkName);
+    requireText(table, "zone", "the name of the availability zone", zone, checkName);
+    requireText(table, "region", "the name of the region", region, checkName);
+    requireText(table, "ip", "the IP address of this instance", settings.ip, checkIp);
+    settings.zone = AvailabilityZone(zone);
+    settings.region = Region(region);
+    table.readChoice<LogLevel>(
+        "log_level",
+        settings.logLevel,
+        {{"debug", LogLevel::Debug}, {"info", LogLevel::Info}, {"warning", LogLevel::Warning}, {"error", LogLevel::Error}});
+}
+
+void readListen(TomlTable &table, EdgeSettings &settings)
+{
+    settings.callers = requireAddress(table, "callers", checkAnyAddress);
+    settings.readiness = requireAddress(table, "readiness", checkAnyAddress);
+    requirePort(table, "peer_port", settings.peerPort);
+    requirePort(table, "metrics_port", settings.metricsPort);
+}
+
+void readRetries(TomlTable &table, FleetRetryBudget &retries)
+{
+    double window = std::chrono::duration<double>(retries.window).count();
+    requireNumber(table, "share", "retries per request, from 0 to 1", retries.share, {.lowest = 0, .highest = 1});
+    requireNumber(table, "extra", "retries beyond the share", retries.extra, {.lowest = 0, .highest = LargestExtra});
+    requireNumber(table, "window_s", "seconds", window, {.lowest = 1, .highest = LongestSeconds});
+    retries.window = toDuration(window);
+}
+
+void readSections(TomlTable &root, EdgeSettings &settings)
+{
+    for (const std::string_view section : {"instance", "listen", "store", "shutdown", "retries"}) {
+        if (!root.has(section)) {
+            root.reportMissing(section, "a table");
+        }
+    }
+    root.readTable("instance", [&](TomlTable &table) {
+        readInstance(table, settings);
+    });
+    root.readTable("listen", [&](TomlTable &table) {
+        readListen(table, settings);
+    });
+    root.readTable("store", [&](TomlTable &table) {
+        settings.store = requireAddress(table, "address", checkRemoteAddress);
+    });
+    root.readTable("shutdown", [&](TomlTable &table) {
+        double seconds = 0;
+        requireNumber(table, "grace_s", "seconds", seconds, {.lowest = 0.1, .highest = LongestSeconds});
+        settings.shutdownGrace = toDuration(seconds);
+    });
+    root.readTable("retries", [&](TomlTable &table) {
+        readRetries(table, settings.retries);
+    });
+    root.readTable("limits", [&](TomlTable &table) {
+        table.readInteger("descriptors", settings.descriptors, {.lowest = FewestDescriptors, .highest = MostDescriptors});
+    });
+    root.reportUnknownKeys();
+}
+
+} // namespace
+
+Result<EdgeSettings> parseEdgeSettings(const std::string &text, const std::string &file)
+{
+    IssueCollector issues(file);
+    const toml::table table = parseToml(text, issues);
+    EdgeSettings settings;
+    if (issues.empty()) {
+        TomlTable root(table, "", issues);
+        readSections(root, settings);
+    }
+    if (!issues.empty()) {
+        return issues.failure(Step::ReadSettings);
+    }
+    return settings;
+}
+
+Result<EdgeSettings> readEdgeSettings(const std::string &file)
+{
+    BOOST_LEAF_AUTO(text, readSettingsFile(file));
+    return parseEdgeSettings(text, file);
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/fleet.cpp
@@ -0,0 +1,118 @@
+#include "edge/fleet.h"
+
+#include <filbertmount/telemetry/log.h>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+Asio::ip::udp::endpoint udpEndpoint(const std::string &address)
+{
+    const std::optional<Tcp::endpoint> parsed = toTcpEndpoint(address);
+    return parsed ? Asio::ip::udp::endpoint(parsed->address(), parsed->port()) : Asio::ip::udp::endpoint();
+}
+
+} // namespace
+
+Fleet::Fleet(IoLoop &loop, Options options, Metrics &metrics)
+    : m_options(std::move(options))
+    , m_metrics(metrics)
+    , m_membership({.self = m_options.self, .staticPeers = {}, .seed = m_options.seed}, ProcessClock::now())
+    , m_dispatcher(PeerDispatcher::Options{.cluster = m_options.cluster, .onDrop = {}})
+    , m_socket(loop,
+               {.cluster = m_options.cluster, .self = m_options.self.id, .listen = udpEndpoint(m_options.self.peerAddress)},
+               metrics,
+               [this](std::string_view bytes) {
+                   m_dispatcher.receive(bytes);
+               })
+{
+    setHandlers();
+}
+
+void Fleet::setHandlers()
+{
+    using Wire::Body;
+    m_dispatcher.setMemberHandler([this](const InstanceId & /*from*/, const Wire::Envelope &envelope) {
+        m_membership.receiveMembers(envelope, ProcessClock::now());
+        followMembers();
+    });
+    for (const Body::KindCase kind : {Body::kPing, Body::kAck, Body::kIndirectPing, Body::kJoinRequest}) {
+        m_dispatcher.setHandler(kind, [this](const InstanceId &from, const Body &body) {
+            m_socket.send(m_membership.receive(from, body, ProcessClock::now()));
+        });
+    }
+    for (const Body::KindCase kind : {Body::kSlotRequest,
+                                      Body::kSlotGrant,
+                                      Body::kSlotQueued,
+                                      Body::kSlotRefusal,
+                                      Body::kSlotRelease,
+                                      Body::kInFlightReport}) {
+        m_dispatcher.setHandler(kind, [this](const InstanceId &from, const Body &body) {
+            if (m_router != nullptr) {
+                m_router->handleMessage(from, body);
+            }
+        });
+    }
+}
+
+void Fleet::connect(Router &router)
+{
+    m_router = &router;
+    followMembers();
+}
+
+PeerSender Fleet::sender()
+{
+    return [this](const InstanceId &to, Wire::Envelope envelope) {
+        m_socket.send(to, std::move(envelope));
+    };
+}
+
+void Fleet::setKnownAddresses(std::vector<std::string> addresses)
+{
+    std::erase(addresses, m_options.self.peerAddress);
+    m_membership.setListedPeers(std::move(addresses));
+}
+
+void Fleet::tick(Instant now)
+{
+    m_socket.send(m_membership.tick(now));
+    followMembers();
+}
+
+void Fleet::leave()
+{
+    m_socket.send(m_membership.leave());
+}
+
+MemberList Fleet::members() const
+{
+    return *m_membership.live();
+}
+
+void Fleet::followMembers()
+{
+    if (m_router == nullptr || m_membership.version() == m_memberVersion) {
+        return;
+    }
+    m_memberVersion = m_membership.version();
+    MemberList current = members();
+    std::vector<InstanceId> ids;
+    for (const Member &member : current) {
+        ids.push_back(member.id);
+        m_socket.setAddress(member.id, member.peerAddress);
+    }
+    for (const Member &member : m_lastMembers) {
+        if (std::find(ids.begin(), ids.end(), member.id) == ids.end()) {
+            m_socket.forget(member.id);
+        }
+    }
+    m_lastMembers = std::move(current);
+    m_metrics.gauge(MetricNames::Members).Set(static_cast<double>(ids.size()));
+    logLine(LogLevel::Info, "the live instances changed", {{.name = "members", .value = static_cast<std::int64_t>(ids.size())}});
+    m_router->setMembers(ids);
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/fleet.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "edge/peersocket.h"
+
+#include <filbertmount/membership/membershiptable.h>
+#include <filbertmount/peer/peerdispatcher.h>
+#include <filbertmount/routing/router.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Filbertmount {
+
+/** The other entry instances: who is alive, and messages between them and the router. Lives on the IoLoop. */
+class Fleet
+{
+public:
+    struct Options {
+        std::string cluster;
+        Member self;
+        std::uint64_t seed = 1;
+    };
+
+    Fleet(IoLoop &loop, Options options, Metrics &metrics);
+
+    /** Passes routing messages to @p router, which outlives the fleet, and tells it of the members. */
+    void connect(Router &router);
+    [[nodiscard]] PeerSender sender();
+    /** Replaces the addresses at which instances may be found. */
+    void setKnownAddresses(std::vector<std::string> addresses);
+    void tick(Instant now);
+    /** Tells the others that this instance leaves. */
+    void leave();
+    [[nodiscard]] MemberList members() const;
+
+private:
+    void setHandlers();
+    void followMembers();
+
+    Options m_options;
+    Metrics &m_metrics;
+    MembershipTable m_membership;
+    PeerDispatcher m_dispatcher;
+    PeerSocket m_socket;
+    Router *m_router = nullptr;
+    std::uint64_t m_memberVersion = 0;
+    MemberList m_lastMembers;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/instanceregistration.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "edge/storecalls.h"
+
+#include <filbertmount/edge/statemirror.h>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace Filbertmount {
+
+/**
+ * Enters an entry instance into the store's list of instances and reads the others from it. Lives on the IoLoop.
+ *
+ * The list is read again after the own entry was made, so that of two instances which start together at least the later
+ * one knows the other; from then on the membership protocol tells the rest. An instance that finds its entry from an
+ * earlier run makes no write.
+ */
+template<StoreProtocol Protocol>
+class InstanceRegistration
+{
+public:
+    using ChangeHandler = std::function<void(const MirrorChanges &)>;
+
+    InstanceRegistration(IoLoop &loop,
+                         Protocol protocol,
+                         std::string name,
+                         InstanceRecord record,
+                         StoreCallOptions options,
+                         StateMirror &mirror,
+                         Metrics &metrics,
+                         ChangeHandler onChange)
+        : m_calls(loop, options.store, metrics, StateKind::Instances)
+        , m_protocol(std::move(protocol))
+        , m_name(std::move(name))
+        , m_record(std::move(record))
+        , m_options(std::move(options))
+        , m_mirror(mirror)
+        , m_onChange(std::move(onChange))
+        , m_timer(loop)
+        , m_retry(m_options.firstRetry)
+    {
+    }
+
+    void start()
+    {
+        list(std::string());
+    }
+
+private:
+    void list(const std::string &after)
+    {
+        m_calls.call(m_protocol.listRequest(StateKind::Instances, after, false),
+                     "list",
+                     m_options.callTimeout,
+                     [this](const CallResult &result) {
+                         onPage(result.read([this](int status, const std::string &body) {
+                             return m_protocol.readPage(StateKind::Instances, status, body);
+                         }));
+                     });
+    }
+
+    void onPage(StoreResult<StatePage> result)
+    {
+        auto *page = std::get_if<StatePage>(&result);
+        if (page == nullptr) {
+            m_listed.clear();
+            retryLater();
+            return;
+        }
+        std::move(page->objects.begin(), page->objects.end(), std::back_inserter(m_listed));
+        if (page->nextAfter) {
+            list(*page->nextAfter);
+            return;
+        }
+        m_onChange(
+            m_mirror.takeListing(StateKind::Instances, std::exchange(m_listed, {}), page->storeRevision, ProcessClock::now()));
+        if (!m_mirror.instances().contains(m_name)) {
+            enter();
+        }
+    }
+
+    void enter()
+    {
+        m_calls.call(m_protocol.createInstanceRequest(m_name, m_record),
+                     "create",
+                     m_options.callTimeout,
+                     [this](const CallResult &result) {
+                         const auto written = result.read([this](int status, const std::string &body) {
+                             return m_protocol.readWrite(status, body);
+                         });
+                         const auto *error = std::get_if<StoreError>(&written);
+                         // A conflict means that an earlier call, whose answer was lost, made the entry.
+                         if (error != nullptr && error->problem != StoreProblem::Conflict) {
+                             retryLater();
+                             return;
+                         }
+                         list(std::string());
+                     });
+    }
+
+    void retryLater()
+    {
+        m_timer.expires_after(m_retry);
+        m_retry = std::min<Duration>(2 * m_retry, LongestRetry);
+        m_timer.async_wait([this](const error_code &cancelled) {
+            if (!cancelled) {
+                start();
+            }
+        });
+    }
+
+    /** Nothing urgent depends on the list of instances. */
+    static constexpr Duration LongestRetry = std::chrono::seconds(4);
+
+    StoreCalls m_calls;
+    Protocol m_protocol;
+    std::string m_name;
+    InstanceRecord m_record;
+    StoreCallOptions m_options;
+    StateMirror &m_mirror;
+    ChangeHandler m_onChange;
+    Asio::steady_timer m_timer;
+    Duration m_retry;
+    std::vector<StateObject> m_listed;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/ioloop.cpp
@@ -0,0 +1,76 @@
+#include "edge/ioloop.h"
+
+#include <boost/asio/detail/socket_option.hpp>
+#include <boost/asio/ip/address.hpp>
+
+#include <netinet/tcp.h>
+
+#include <optional>
+
+namespace Filbertmount {
+
+namespace {
+
+template<int Name>
+using TcpOption = Asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+
+constexpr int MissedIdleChecks = 2;
+
+int toMilliseconds(Duration duration)
+{
+    return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+int toWholeSeconds(Duration duration)
+{
+    return static_cast<int>(std::chrono::ceil<std::chrono::seconds>(duration).count());
+}
+
+} // namespace
+
+void tuneSocket(Tcp::socket &socket, const SocketTimeouts &timeouts)
+{
+    error_code ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(toMilliseconds(timeouts.unacknowledged)), ignored);
+    socket.set_option(Asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(TcpOption<TCP_KEEPIDLE>(toWholeSeconds(timeouts.idleCheck)), ignored);
+    socket.set_option(TcpOption<TCP_KEEPINTVL>(toWholeSeconds(timeouts.idleCheck)), ignored);
+    socket.set_option(TcpOption<TCP_KEEPCNT>(MissedIdleChecks), ignored);
+}
+
+std::optional<Tcp::endpoint> toTcpEndpoint(const std::string &address)
+{
+    const std::optional<Endpoint> parsed = parseEndpoint(address);
+    if (!parsed) {
+        return std::nullopt;
+    }
+    error_code error;
+    const Asio::ip::address ip = Asio::ip::make_address(parsed->ip, error);
+    if (error) {
+        return std::nullopt;
+    }
+    return Tcp::endpoint(ip, parsed->port);
+}
+
+PeriodicTask::PeriodicTask(IoLoop &loop, Duration interval, std::function<void()> run)
+    : m_timer(loop)
+    , m_interval(interval)
+    , m_run(std::move(run))
+{
+    schedule();
+}
+
+void PeriodicTask::schedule()
+{
+    m_timer.expires_after(m_interval);
+    m_timer.async_wait([this](const error_code &error) {
+        if (error) {
+            return;
+        }
+        m_run();
+        schedule();
+    });
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/listener.cpp
@@ -0,0 +1,106 @@
+#include "edge/listener.h"
+
+#include <filbertmount/telemetry/log.h>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+constexpr int Backlog = 1024;
+constexpr std::size_t FirstSweep = 64;
+// Accepting fails for a while when all descriptors are in use.
+constexpr Duration AcceptRetry = std::chrono::milliseconds(50);
+
+} // namespace
+
+Listener::Listener(IoLoop &loop, const Tcp::endpoint &address, RequestHandler &handler, std::size_t maxSessions)
+    : m_acceptor(loop)
+    , m_retryTimer(loop)
+    , m_handler(handler)
+    , m_maxSessions(maxSessions)
+    , m_sweepAt(FirstSweep)
+{
+    m_acceptor.open(address.protocol());
+    m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(address);
+    m_acceptor.listen(Backlog);
+    accept();
+}
+
+void Listener::accept()
+{
+    m_acceptor.async_accept([this](const error_code &error, Tcp::socket socket) {
+        if (error == Asio::error::operation_aborted || !m_acceptor.is_open()) {
+            return;
+        }
+        if (error) {
+            logLine(LogLevel::Warning, "a connection could not be accepted", {{.name = "reason", .value = error.message()}});
+            m_retryTimer.expires_after(AcceptRetry);
+            m_retryTimer.async_wait([this](const error_code &cancelled) {
+                if (!cancelled) {
+                    accept();
+                }
+            });
+            return;
+        }
+        if (m_sessions.size() >= m_sweepAt) {
+            forgetClosed();
+        }
+        if (m_sessions.size() < m_maxSessions) {
+            m_sessions.push_back(std::make_shared<ServerSession>(std::move(socket), m_handler));
+            m_sessions.back()->start();
+        }
+        accept();
+    });
+}
+
+void Listener::forgetClosed()
+{
+    std::erase_if(m_sessions, [](const std::shared_ptr<ServerSession> &session) {
+        return session->isClosed();
+    });
+    m_sweepAt = std::max(FirstSweep, 2 * m_sessions.size());
+}
+
+void Listener::stopAccepting()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+    m_retryTimer.cancel();
+}
+
+void Listener::drainIdle()
+{
+    forgetClosed();
+    for (const std::shared_ptr<ServerSession> &session : m_sessions) {
+        session->drain();
+    }
+}
+
+void Listener::closeAll()
+{
+    for (const std::shared_ptr<ServerSession> &session : m_sessions) {
+        session->close();
+    }
+    m_sessions.clear();
+}
+
+std::size_t Listener::unanswered() const
+{
+    std::size_t count = 0;
+    for (const std::shared_ptr<ServerSession> &session : m_sessions) {
+        count += session->unanswered();
+    }
+    return count;
+}
+
+std::size_t Listener::sessions() const
+{
+    return static_cast<std::size_t>(std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto &session) {
+        return !session->isClosed();
+    }));
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/peersocket.cpp
@@ -0,0 +1,90 @@
+#include "edge/peersocket.h"
+
+#include <boost/asio/buffer.hpp>
+
+namespace Filbertmount {
+
+namespace {
+
+// Largest payload of a UDP datagram over IPv4.
+constexpr std::size_t MaxDatagram = 65'507;
+
+} // namespace
+
+PeerSocket::PeerSocket(IoLoop &loop, Options options, Metrics &metrics, Receiver receiver)
+    : m_options(std::move(options))
+    , m_socket(loop, m_options.listen)
+    , m_receiver(std::move(receiver))
+    , m_buffer(MaxDatagram)
+    , m_sent(metrics.counter(MetricNames::PeerMessages, {{"direction", "sent"}}))
+    , m_sentBytes(metrics.counter(MetricNames::PeerBytes, {{"direction", "sent"}}))
+    , m_dropped(metrics.counter(MetricNames::PeerDropped, {{"reason", "unsendable"}}))
+{
+    m_socket.non_blocking(true);
+    receive();
+}
+
+void PeerSocket::receive()
+{
+    m_socket.async_receive(Asio::buffer(m_buffer), [this](const error_code &error, std::size_t bytes) {
+        if (error == Asio::error::operation_aborted) {
+            return;
+        }
+        // A refused datagram of an earlier send shows as an error here; it concerns no received message.
+        if (!error) {
+            m_receiver({m_buffer.data(), bytes});
+        }
+        receive();
+    });
+}
+
+void PeerSocket::setAddress(const InstanceId &peer, const std::string &address)
+{
+    if (const std::optional<Tcp::endpoint> parsed = toTcpEndpoint(address)) {
+        m_addresses[peer] = {parsed->address(), parsed->port()};
+    }
+}
+
+void PeerSocket::forget(const InstanceId &peer)
+{
+    m_addresses.erase(peer);
+}
+
+void PeerSocket::send(PeerOutbox outbox)
+{
+    for (PeerMessage &message : outbox) {
+        if (message.address.empty()) {
+            send(message.to, std::move(message.envelope));
+        } else if (const std::optional<Tcp::endpoint> parsed = toTcpEndpoint(message.address)) {
+            sendTo({parsed->address(), parsed->port()}, std::move(message.envelope));
+        }
+    }
+}
+
+void PeerSocket::send(const InstanceId &to, Wire::Envelope envelope)
+{
+    const auto address = m_addresses.find(to);
+    if (address == m_addresses.end()) {
+        m_dropped.Increment();
+        return;
+    }
+    sendTo(address->second, std::move(envelope));
+}
+
+void PeerSocket::sendTo(const Asio::ip::udp::endpoint &address, Wire::Envelope envelope)
+{
+    envelope.set_cluster(m_options.cluster);
+    envelope.set_from(m_options.self.value());
+    envelope.set_sequence(++m_lastSequence);
+    envelope.SerializeToString(&m_encoded);
+    error_code error;
+    m_socket.send_to(Asio::buffer(m_encoded), address, 0, error);
+    if (error) {
+        m_dropped.Increment();
+        return;
+    }
+    m_sent.Increment();
+    m_sentBytes.Increment(static_cast<double>(m_encoded.size()));
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/peersocket.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "edge/ioloop.h"
+
+#include <filbertmount/peer/peermessage.h>
+#include <filbertmount/telemetry/metrics.h>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/ip/udp.hpp>
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Filbertmount {
+
+/**
+ * Sends and receives envelopes as UDP datagrams. Lives on the IoLoop.
+ *
+ * Every protocol between instances bears lost messages, so nothing is sent again here.
+ */
+class PeerSocket
+{
+public:
+    using Receiver = std::function<void(std::string_view bytes)>;
+
+    struct Options {
+        std::string cluster;
+        InstanceId self;
+        Asio::ip::udp::endpoint listen;
+    };
+
+    PeerSocket(IoLoop &loop, Options options, Metrics &metrics, Receiver receiver);
+
+    /** Sets where @p peer is reached from now on. */
+    void setAddress(const InstanceId &peer, const std::string &address);
+    void forget(const InstanceId &peer);
+
+    void send(PeerOutbox outbox);
+    void send(const InstanceId &to, Wire::Envelope envelope);
+
+private:
+    void receive();
+    void sendTo(const Asio::ip::udp::endpoint &address, Wire::Envelope envelope);
+
+    Options m_options;
+    Asio::ip::udp::socket m_socket;
+    Receiver m_receiver;
+    absl::flat_hash_map<InstanceId, Asio::ip::udp::endpoint> m_addresses;
+    std::vector<char> m_buffer;
+    std::string m_encoded;
+    std::uint64_t m_lastSequence = 0;
+    prometheus::Counter &m_sent;
+    prometheus::Counter &m_sentBytes;
+    prometheus::Counter &m_dropped;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/probeloop.cpp
@@ -0,0 +1,101 @@
+#include "edge/probeloop.h"
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+constexpr Duration LargestIdle = std::chrono::hours(1);
+
+} // namespace
+
+ProbeLoop::ProbeLoop(IoLoop &loop, const HttpDialect &dialect, Router &router, Metrics &metrics, ProbeLoopOptions options)
+    : m_dialect(dialect)
+    , m_router(router)
+    , m_metrics(metrics)
+    , m_options(options)
+    , m_pool(loop)
+{
+}
+
+void ProbeLoop::setRoutes(const RouteSet &routes)
+{
+    m_paths.clear();
+    for (const ServiceAccess &service : routes.services) {
+        if (!service.healthPath.empty()) {
+            m_paths[service.name] = service.healthPath;
+        }
+    }
+}
+
+bool ProbeLoop::takeToken(Instant now)
+{
+    // A tenth of a second's worth bounds the burst after a quiet time.
+    const double largest = m_options.perSecond / 10.0;
+    const double elapsed = std::chrono::duration<double>(now - m_lastTick).count();
+    m_tokens = std::min(largest, m_tokens + std::min(elapsed, 1.0) * m_options.perSecond);
+    m_lastTick = now;
+    if (m_tokens < 1) {
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+void ProbeLoop::tick(Instant now)
+{
+    m_pool.closeExpired(now);
+    for (const auto &[service, upstream] : m_router.upstreamsToMeasure(m_options.paceAge)) {
+        const auto path = m_paths.find(service);
+        if (path == m_paths.end() || m_running.contains(upstream.id)) {
+            continue;
+        }
+        if (!takeToken(now)) {
+            return;
+        }
+        probe(service, upstream, path->second);
+    }
+}
+
+void ProbeLoop::probe(const ServiceName &service, const RoutedUpstream &upstream, const std::string &path)
+{
+    std::shared_ptr<ClientConnection> connection = m_pool.take(upstream.id, upstream.address, LargestIdle);
+    if (!connection) {
+        return;
+    }
+    m_running.insert(upstream.id);
+    ExchangeOptions options{.request = "GET " + path + " HTTP/1.1\r\nHost: " + upstream.address + "\r\n\r\n",
+                            .timeout = m_options.timeout,
+                            .connectTimeout = m_options.timeout};
+    // The pointer is read before the call that it is moved into.
+    ClientConnection &target = *connection;
+    target.exchange(std::move(options), [this, service, upstream, kept = std::move(connection)](const ExchangeResult &result) {
+        m_running.erase(upstream.id);
+        m_pool.giveBack(upstream.id, upstream.address, kept);
+        onAnswer(service, upstream, result);
+    });
+}
+
+void ProbeLoop::onAnswer(const ServiceName &service, const RoutedUpstream &upstream, const ExchangeResult &result)
+{
+    const bool isAnswered = result.end == ExchangeEnd::Answered;
+    m_metrics
+        .counter(MetricNames::Probes,
+                 {{"service", service.value()}, {"result", isAnswered ? std::to_string(result.answer.status) : "lost"}})
+        .Increment();
+    if (!isAnswered) {
+        return;
+    }
+    const std::string *identity = findHeader(result.answer.headers, m_dialect.upstreamId);
+    if (identity != nullptr && *identity != upstream.id.value()) {
+        return;
+    }
+    const std::string *stated = findHeader(result.answer.headers, m_dialect.upstreamLoad);
+    const std::optional<UpstreamLoad> load = stated != nullptr ? m_dialect.parseLoad(*stated) : std::nullopt;
+    if (load && load->pace) {
+        m_router.recordPace(service, upstream.id, *load->pace);
+    }
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/serversession.cpp
@@ -0,0 +1,370 @@
+#include "edge/serversession.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+namespace Http = boost::beast::http;
+
+// Requests of one connection that are worked on at a time.
+constexpr std::size_t MaxPipelined = 16;
+// Bytes of later requests that are kept while earlier ones are worked on.
+constexpr std::size_t MaxReadAhead = 64U << 10U;
+// After the last answer the client gets this long to close first, so that unread bytes do not reset the answer away.
+constexpr Duration LingerTime = std::chrono::milliseconds(500);
+constexpr unsigned Http10 = 10;
+
+Headers headersOf(const Http::fields &fields)
+{
+    Headers headers;
+    for (const auto &field : fields) {
+        headers.push_back({.name = std::string(field.name_string()), .value = std::string(field.value())});
+    }
+    return headers;
+}
+
+bool isSafeMethod(std::string_view method)
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+int statusOf(const error_code &error)
+{
+    if (error == Http::error::header_limit) {
+        return 431;
+    }
+    if (error == Http::error::body_limit) {
+        return 413;
+    }
+    return 400;
+}
+
+bool mayHaveBody(int status)
+{
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    return status != NoContent && status != NotModified;
+}
+
+std::string answerText(const ServerAnswer &answer, bool isHead, bool keepsAlive, bool isHttp10)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " ";
+    const auto reason = Http::obsolete_reason(Http::int_to_status(static_cast<unsigned>(answer.status)));
+    text.append(reason.data(), reason.size()).append("\r\n");
+    for (const Header &header : answer.headers) {
+        text.append(header.name).append(": ").append(header.value).append("\r\n");
+    }
+    if (mayHaveBody(answer.status)) {
+        text.append("Content-Length: ").append(std::to_string(answer.body.size())).append("\r\n");
+    }
+    if (!keepsAlive) {
+        text.append("Connection: close\r\n");
+    } else if (isHttp10) {
+        text.append("Connection: keep-alive\r\n");
+    }
+    text.append("\r\n");
+    if (!isHead && mayHaveBody(answer.status)) {
+        text.append(answer.body);
+    }
+    return text;
+}
+
+} // namespace
+
+ServerSession::ServerSession(Tcp::socket socket, RequestHandler &handler)
+    : m_handler(handler)
+    , m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+{
+}
+
+void ServerSession::start()
+{
+    tuneSocket(m_socket);
+    error_code error;
+    const Tcp::endpoint client = m_socket.remote_endpoint(error);
+    if (error) {
+        close();
+        return;
+    }
+    m_client = client.address().to_string() + ":" + std::to_string(client.port());
+    startTimer();
+    read();
+}
+
+bool ServerSession::isClosed() const
+{
+    return m_isClosed;
+}
+
+std::size_t ServerSession::unanswered() const
+{
+    return m_exchanges.size();
+}
+
+bool ServerSession::isIdle() const
+{
+    return m_exchanges.empty() && m_received.empty() && !m_isWriting;
+}
+
+void ServerSession::read()
+{
+    if (m_isReading || m_isClosed || m_received.size() >= MaxReadAhead + m_handler.limits().maxHeaderBytes) {
+        return;
+    }
+    m_isReading = true;
+    m_socket.async_read_some(Asio::buffer(m_buffer), [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+        self->m_isReading = false;
+        self->onRead(error, bytes);
+    });
+}
+
+void ServerSession::onRead(const error_code &error, std::size_t bytes)
+{
+    if (m_isClosed) {
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    if (!m_isLingering && !m_isEnding) {
+        m_received.append(m_buffer.data(), bytes);
+        parse();
+    }
+    read();
+}
+
+bool ServerSession::mayStartNext() const
+{
+    const bool isDrainingAfterOthers = m_handler.isDraining() && !m_exchanges.empty();
+    return !m_isEnding && !m_isClosed && !isDrainingAfterOthers && m_exchanges.size() < MaxPipelined;
+}
+
+bool ServerSession::mayRunBesideOthers() const
+{
+    if (m_exchanges.empty()) {
+        return true;
+    }
+    const auto method = m_parser->get().method_string();
+    return m_exchanges.back()->isSafe && isSafeMethod({method.data(), method.size()});
+}
+
+bool ServerSession::isHoldingRequest() const
+{
+    return m_parser && m_parser->is_done();
+}
+
+void ServerSession::startParser()
+{
+    const CallerLimits limits = m_handler.limits();
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(limits.maxHeaderBytes);
+    m_parser->body_limit(limits.maxBodyBytes);
+    m_wasContinued = false;
+    startTimer();
+}
+
+void ServerSession::parse()
+{
+    if (m_isParsing) {
+        return;
+    }
+    m_isParsing = true;
+    while (mayStartNext() && (!m_received.empty() || isHoldingRequest())) {
+        if (!m_parser) {
+            startParser();
+        }
+        error_code error;
+        if (!m_parser->is_done()) {
+            const std::size_t used = m_parser->put(Asio::buffer(m_received), error);
+            m_received.erase(0, used);
+        }
+        if (error && error != Http::error::need_more) {
+            refuse(error);
+            break;
+        }
+        if (!m_parser->is_done() || !mayRunBesideOthers()) {
+            break;
+        }
+        dispatch();
+    }
+    m_isParsing = false;
+}
+
+void ServerSession::dispatch()
+{
+    auto &message = m_parser->get();
+    ServerRequest request{.method = std::string(message.method_string()),
+                          .target = std::string(message.target()),
+                          .headers = headersOf(message),
+                          .body = std::move(message.body()),
+                          .client = m_client,
+                          .arrival = ProcessClock::now()};
+    auto exchange = std::make_shared<Exchange>();
+    exchange->isHead = request.method == "HEAD";
+    exchange->isSafe = isSafeMethod(request.method);
+    exchange->isHttp10 = message.version() == Http10;
+    exchange->keepsAlive = m_parser->keep_alive();
+    m_parser.reset();
+    startTimer();
+    const std::string *coding = findHeader(request.headers, "Transfer-Encoding");
+    if (coding != nullptr && !equalsIgnoringCase(*coding, "chunked")) {
+        refuse(501, "transfer coding " + *coding + " is not supported");
+        return;
+    }
+    if (request.target.empty() || request.target.front() != '/' || findHeader(request.headers, "Host") == nullptr) {
+        refuse(400, "no path or no Host header");
+        return;
+    }
+    if (!exchange->keepsAlive) {
+        m_isEnding = true;
+    }
+    m_exchanges.push_back(exchange);
+    begin(std::move(request), exchange);
+}
+
+void ServerSession::begin(ServerRequest request, const std::shared_ptr<Exchange> &exchange)
+{
+    const std::weak_ptr<ServerSession> weak = weak_from_this();
+    std::shared_ptr<ActiveRequest> active = m_handler.handle(std::move(request), [weak, exchange](ServerAnswer answer) {
+        exchange->answer = std::move(answer);
+        exchange->active.reset();
+        if (const std::shared_ptr<ServerSession> session = weak.lock()) {
+            session->writeReady();
+        }
+    });
+    if (!exchange->answer) {
+        exchange->active = std::move(active);
+    }
+}
+
+void ServerSession::refuse(const error_code &error)
+{
+    if (error == Http::error::end_of_stream || error == Http::error::partial_message) {
+        close();
+        return;
+    }
+    refuse(statusOf(error), error.message());
+}
+
+void ServerSession::refuse(int status, const std::string &reason)
+{
+    m_handler.noteUnreadable(m_client, status, reason);
+    m_isEnding = true;
+    m_received.clear();
+    m_parser.reset();
+    auto exchange = std::make_shared<Exchange>();
+    exchange->keepsAlive = false;
+    exchange->answer = ServerAnswer{.status = status, .headers = {}, .body = {}, .closesConnection = true};
+    m_exchanges.push_back(std::move(exchange));
+    writeReady();
+}
+
+void ServerSession::writeReady()
+{
+    if (m_isClosed || m_isWriting || m_exchanges.empty() || !m_exchanges.front()->answer) {
+        return;
+    }
+    const std::shared_ptr<Exchange> exchange = m_exchanges.front();
+    // Requests that have been started are answered on this connection before it ends.
+    const bool isLast = m_exchanges.size() == 1;
+    const bool isEnding = !exchange->keepsAlive || exchange->answer->closesConnection || m_handler.isDraining();
+    const bool keepsAlive = !isLast || !isEnding;
+    m_isEnding = m_isEnding || isEnding;
+    m_writing = answerText(*exchange->answer, exchange->isHead, keepsAlive, exchange->isHttp10);
+    m_isWriting = true;
+    Asio::async_write(
+        m_socket, Asio::buffer(m_writing), [self = shared_from_this()](const error_code &error, std::size_t /*bytes*/) {
+            self->onWritten(error);
+        });
+}
+
+void ServerSession::onWritten(const error_code &error)
+{
+    m_isWriting = false;
+    if (m_isClosed) {
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    m_exchanges.pop_front();
+    if (m_isEnding && m_exchanges.empty()) {
+        lingerAndClose();
+        return;
+    }
+    startTimer();
+    writeReady();
+    parse();
+    read();
+}
+
+void ServerSession::startTimer()
+{
+    const CallerLimits limits = m_handler.limits();
+    const bool isReadingRequest = m_parser.has_value();
+    m_timer.expires_after(isReadingRequest ? limits.headerTimeout : limits.idleTimeout);
+    m_timer.async_wait([weak = weak_from_this(), isReadingRequest](const error_code &error) {
+        const std::shared_ptr<ServerSession> self = weak.lock();
+        if (error || !self || self->m_isClosed || !self->m_exchanges.empty()) {
+            return;
+        }
+        if (isReadingRequest && !self->m_isEnding) {
+            self->refuse(408, "the request was not sent in time");
+        } else {
+            self->close();
+        }
+    });
+}
+
+void ServerSession::drain()
+{
+    if (isIdle()) {
+        lingerAndClose();
+    }
+}
+
+void ServerSession::lingerAndClose()
+{
+    if (m_isLingering || m_isClosed) {
+        return;
+    }
+    m_isLingering = true;
+    m_isEnding = true;
+    error_code ignored;
+    m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    m_timer.expires_after(LingerTime);
+    m_timer.async_wait([self = shared_from_this()](const error_code &error) {
+        if (!error) {
+            self->close();
+        }
+    });
+    read();
+}
+
+void ServerSession::close()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_isClosed = true;
+    for (const std::shared_ptr<Exchange> &exchange : m_exchanges) {
+        if (exchange->active) {
+            exchange->active->abandon();
+        }
+    }
+    m_exchanges.clear();
+    m_timer.cancel();
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/storecalls.cpp
@@ -0,0 +1,64 @@
+#include "edge/storecalls.h"
+
+namespace Filbertmount {
+
+namespace {
+
+std::string requestText(const StoreRequest &request, const Tcp::endpoint &store)
+{
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + store.address().to_string() + ":"
+        + std::to_string(store.port()) + "\r\n";
+    if (!request.body.empty()) {
+        text.append("Content-Type: application/json\r\nContent-Length: ")
+            .append(std::to_string(request.body.size()))
+            .append("\r\n");
+    }
+    return text.append("\r\n").append(request.body);
+}
+
+} // namespace
+
+StoreCalls::StoreCalls(IoLoop &loop, Tcp::endpoint store, Metrics &metrics, StateKind kind)
+    : m_loop(loop)
+    , m_store(std::move(store))
+    , m_metrics(metrics)
+    , m_kind(kind)
+{
+}
+
+StoreCalls::~StoreCalls()
+{
+    cancel();
+}
+
+void StoreCalls::cancel()
+{
+    if (m_connection) {
+        m_connection->close();
+        m_connection.reset();
+    }
+}
+
+void StoreCalls::call(const StoreRequest &request, const std::string &operation, Duration timeout, Handler handler)
+{
+    if (!m_connection || !m_connection->isReusable()) {
+        cancel();
+        m_connection = std::make_shared<ClientConnection>(m_loop, m_store);
+    }
+    m_connection->exchange({.request = requestText(request, m_store), .timeout = timeout},
+                           [this, operation, handler = std::move(handler)](ExchangeResult result) {
+                               count(operation, result);
+                               handler(CallResult{std::move(result)});
+                           });
+}
+
+void StoreCalls::count(const std::string &operation, const ExchangeResult &result)
+{
+    const std::string outcome = result.end == ExchangeEnd::Answered ? std::to_string(result.answer.status) : "lost";
+    m_metrics
+        .counter(MetricNames::StoreCalls,
+                 {{"kind", std::string(stateKindName(m_kind))}, {"operation", operation}, {"outcome", outcome}})
+        .Increment();
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/storecalls.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "edge/clientconnection.h"
+
+#include <filbertmount/edge/sharedstate.h>
+#include <filbertmount/telemetry/metrics.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Filbertmount {
+
+struct StoreCallOptions {
+    Tcp::endpoint store;
+    /** Longest wait of a watch; a path that went silent is noticed earlier by the socket's idle check. */
+    Duration watchWait = std::chrono::seconds(25);
+    Duration callTimeout = std::chrono::milliseconds(1500);
+    Duration firstRetry = std::chrono::milliseconds(50);
+    Duration longestRetry = std::chrono::milliseconds(500);
+};
+
+/** How a call of the store ended. */
+struct CallResult {
+    ExchangeResult exchange;
+
+    /** Returns what @p reader makes of the answer's status and body, or an error when there is no answer. */
+    template<class Reader>
+    [[nodiscard]] auto read(Reader reader) const -> decltype(reader(0, std::string()))
+    {
+        if (exchange.end != ExchangeEnd::Answered) {
+            return StoreError{.problem = StoreProblem::Unavailable, .reason = exchange.reason};
+        }
+        return reader(exchange.answer.status, exchange.answer.body);
+    }
+};
+
+/** Calls the store, one call at a time, over a connection that is kept. Lives on the IoLoop. */
+class StoreCalls
+{
+public:
+    using Handler = std::function<void(const CallResult &)>;
+
+    /** @param kind label of the calls in the metrics */
+    StoreCalls(IoLoop &loop, Tcp::endpoint store, Metrics &metrics, StateKind kind);
+    ~StoreCalls();
+    StoreCalls(const StoreCalls &) = delete;
+    StoreCalls &operator=(const StoreCalls &) = delete;
+
+    void call(const StoreRequest &request, const std::string &operation, Duration timeout, Handler handler);
+    /** Drops the call in progress; its handler is not called. */
+    void cancel();
+
+private:
+    void count(const std::string &operation, const ExchangeResult &result);
+
+    IoLoop &m_loop;
+    Tcp::endpoint m_store;
+    Metrics &m_metrics;
+    StateKind m_kind;
+    std::shared_ptr<ClientConnection> m_connection;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/storefollower.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include "edge/storecalls.h"
+
+#include <filbertmount/edge/statemirror.h>
+#include <filbertmount/telemetry/log.h>
+
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace Filbertmount {
+
+/**
+ * Keeps one kind of the store's objects up to date in the mirror: lists them, then watches for changes. Lists again when
+ * the history is gone. Lives on the IoLoop.
+ */
+template<StoreProtocol Protocol>
+class StoreFollower
+{
+public:
+    using ChangeHandler = std::function<void(const MirrorChanges &)>;
+
+    StoreFollower(IoLoop &loop,
+                  Protocol protocol,
+                  StateKind kind,
+                  StoreCallOptions options,
+                  StateMirror &mirror,
+                  Metrics &metrics,
+                  ChangeHandler onChange)
+        : m_protocol(std::move(protocol))
+        , m_kind(kind)
+        , m_options(std::move(options))
+        , m_calls(loop, m_options.store, metrics, kind)
+        , m_mirror(mirror)
+        , m_onChange(std::move(onChange))
+        , m_timer(loop)
+        , m_retry(m_options.firstRetry)
+    {
+    }
+
+    /** Drops a call in progress and begins with a listing. */
+    void start()
+    {
+        m_calls.cancel();
+        m_timer.cancel();
+        list();
+    }
+
+private:
+    void list()
+    {
+        m_listed.clear();
+        m_listedAt = Revision();
+        listPage(std::string());
+    }
+
+    void listPage(const std::string &after)
+    {
+        m_calls.call(
+            m_protocol.listRequest(m_kind, after, false), "list", m_options.callTimeout, [this](const CallResult &result) {
+                onPage(result.read([this](int status, const std::string &body) {
+                    return m_protocol.readPage(m_kind, status, body);
+                }));
+            });
+    }
+
+    void onPage(StoreResult<StatePage> result)
+    {
+        if (const auto *error = std::get_if<StoreError>(&result)) {
+            onError(*error, "list");
+            return;
+        }
+        noteAnswer();
+        auto &page = std::get<StatePage>(result);
+        std::move(page.objects.begin(), page.objects.end(), std::back_inserter(m_listed));
+        if (m_listedAt == Revision()) {
+            // Changes after the first page are in the history from here on, whichever page they fall on.
+            m_listedAt = page.storeRevision;
+        }
+        if (page.nextAfter) {
+            listPage(*page.nextAfter);
+            return;
+        }
+        m_onChange(m_mirror.takeListing(m_kind, std::exchange(m_listed, {}), m_listedAt, ProcessClock::now()));
+        watch();
+    }
+
+    void watch()
+    {
+        const std::optional<Revision> from = m_mirror.revision(m_kind);
+        if (!from) {
+            list();
+            return;
+        }
+        m_calls.call(m_protocol.watchRequest(m_kind, *from, m_options.watchWait),
+                     "watch",
+                     m_options.watchWait + m_options.callTimeout,
+                     [this](const CallResult &result) {
+                         onChanges(result.read([this](int status, const std::string &body) {
+                             return m_protocol.readChanges(m_kind, status, body);
+                         }));
+                     });
+    }
+
+    void onChanges(StoreResult<StateChanges> result)
+    {
+        const auto *error = std::get_if<StoreError>(&result);
+        if (error != nullptr && error->problem == StoreProblem::HistoryGone) {
+            noteAnswer();
+            logLine(LogLevel::Info,
+                    "the store's history is gone; listing again",
+                    {{.name = "kind", .value = std::string(stateKindName(m_kind))}});
+            list();
+            return;
+        }
+        if (error != nullptr) {
+            onError(*error, "watch");
+            return;
+        }
+        noteAnswer();
+        m_onChange(m_mirror.takeChanges(m_kind, std::get<StateChanges>(result), ProcessClock::now()));
+        watch();
+    }
+
+    void noteAnswer()
+    {
+        if (m_hasFailed) {
+            logLine(LogLevel::Info, "the store answers again", {{.name = "kind", .value = std::string(stateKindName(m_kind))}});
+        }
+        m_hasFailed = false;
+        m_retry = m_options.firstRetry;
+        m_mirror.noteContact(true, ProcessClock::now());
+    }
+
+    void onError(const StoreError &error, const std::string &operation)
+    {
+        m_mirror.noteContact(false, ProcessClock::now());
+        if (!m_hasFailed || error.problem == StoreProblem::Malformed) {
+            logLine(LogLevel::Warning,
+                    "a call of the store failed",
+                    {{.name = "kind", .value = std::string(stateKindName(m_kind))},
+                     {.name = "operation", .value = operation},
+                     {.name = "problem", .value = std::string(storeProblemName(error.problem))},
+                     {.name = "reason", .value = error.reason}});
+        }
+        m_hasFailed = true;
+        m_timer.expires_after(m_retry);
+        m_retry = std::min(m_retry * 2, m_options.longestRetry);
+        m_timer.async_wait([this](const error_code &cancelled) {
+            if (!cancelled) {
+                watch();
+            }
+        });
+    }
+
+    Protocol m_protocol;
+    StateKind m_kind;
+    StoreCallOptions m_options;
+    StoreCalls m_calls;
+    StateMirror &m_mirror;
+    ChangeHandler m_onChange;
+    Asio::steady_timer m_timer;
+    Duration m_retry;
+    std::vector<StateObject> m_listed;
+    Revision m_listedAt;
+    bool m_hasFailed = false;
+};
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/upstreampool.cpp
@@ -0,0 +1,100 @@
+#include "edge/upstreampool.h"
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+// Idle connections of one upstream; more would take slots of its connection limit for nothing.
+constexpr std::size_t MaxIdlePerUpstream = 4;
+constexpr Duration DefaultIdleTimeout = std::chrono::seconds(8);
+// A request must not cross the upstream's close on the way.
+constexpr Duration IdleTimeoutMargin = std::chrono::seconds(1);
+
+Duration usableIdleTime(const ClientConnection &connection)
+{
+    const std::optional<Duration> stated = connection.serverIdleTimeout();
+    return stated ? std::max(*stated - IdleTimeoutMargin, Duration::zero()) : DefaultIdleTimeout;
+}
+
+} // namespace
+
+UpstreamPool::UpstreamPool(IoLoop &loop)
+    : m_loop(loop)
+{
+}
+
+std::shared_ptr<ClientConnection> UpstreamPool::take(const UpstreamId &upstream, const std::string &address, Duration largestIdle)
+{
+    const Instant now = ProcessClock::now();
+    const auto idle = m_idle.find(upstream);
+    // The connection that was used last is the least likely to be closed by the upstream at this moment.
+    while (idle != m_idle.end() && idle->second.address == address && !idle->second.connections.empty()) {
+        std::shared_ptr<ClientConnection> connection = std::move(idle->second.connections.back());
+        idle->second.connections.pop_back();
+        const Duration age = now - connection->idleSince();
+        if (connection->isReusable() && age < std::min(largestIdle, usableIdleTime(*connection))) {
+            return connection;
+        }
+        connection->close();
+    }
+    const std::optional<Tcp::endpoint> endpoint = toTcpEndpoint(address);
+    if (!endpoint) {
+        return nullptr;
+    }
+    ++m_opened;
+    return std::make_shared<ClientConnection>(m_loop, *endpoint);
+}
+
+void UpstreamPool::giveBack(const UpstreamId &upstream, const std::string &address, std::shared_ptr<ClientConnection> connection)
+{
+    if (!connection->isReusable()) {
+        connection->close();
+        return;
+    }
+    Idle &idle = m_idle[upstream];
+    if (idle.address != address) {
+        forget(upstream);
+        m_idle[upstream].address = address;
+    }
+    std::vector<std::shared_ptr<ClientConnection>> &connections = m_idle[upstream].connections;
+    if (connections.size() >= MaxIdlePerUpstream) {
+        connections.front()->close();
+        connections.erase(connections.begin());
+    }
+    connections.push_back(std::move(connection));
+}
+
+void UpstreamPool::forget(const UpstreamId &upstream)
+{
+    const auto idle = m_idle.find(upstream);
+    if (idle == m_idle.end()) {
+        return;
+    }
+    for (const std::shared_ptr<ClientConnection> &connection : idle->second.connections) {
+        connection->close();
+    }
+    m_idle.erase(idle);
+}
+
+void UpstreamPool::closeExpired(Instant now)
+{
+    absl::erase_if(m_idle, [now](auto &item) {
+        std::erase_if(item.second.connections, [now](const std::shared_ptr<ClientConnection> &connection) {
+            const bool isExpired = !connection->isReusable() || now - connection->idleSince() >= usableIdleTime(*connection);
+            if (isExpired) {
+                connection->close();
+            }
+            return isExpired;
+        });
+        return item.second.connections.empty();
+    });
+}
+
+std::uint64_t UpstreamPool::opened() const
+{
+    return m_opened;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/routes/routeset.cpp
@@ -0,0 +1,71 @@
+#include <filbertmount/routes/routeset.h>
+
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+namespace {
+
+std::string_view withoutPort(std::string_view host)
+{
+    const std::size_t colon = host.rfind(':');
+    const bool isIpv6Part = host.find(']', colon == std::string_view::npos ? 0 : colon) != std::string_view::npos;
+    return colon == std::string_view::npos || isIpv6Part ? host : host.substr(0, colon);
+}
+
+std::string_view withoutQuery(std::string_view target)
+{
+    return target.substr(0, std::min(target.find('?'), target.size()));
+}
+
+} // namespace
+
+std::string normalizedHost(std::string_view host)
+{
+    std::string lower(withoutPort(host));
+    absl::AsciiStrToLower(&lower);
+    return lower;
+}
+
+RouteIndex::RouteIndex(RouteSet routes)
+    : m_routes(std::move(routes))
+{
+    for (std::size_t position = 0; position < m_routes.routes.size(); ++position) {
+        m_byHost[m_routes.routes[position].host].push_back(position);
+    }
+    for (auto &[host, positions] : m_byHost) {
+        std::stable_sort(positions.begin(), positions.end(), [this](std::size_t left, std::size_t right) {
+            return m_routes.routes[left].pathPrefix.size() > m_routes.routes[right].pathPrefix.size();
+        });
+    }
+}
+
+const RouteSet &RouteIndex::routes() const
+{
+    return m_routes;
+}
+
+RouteSetVersion RouteIndex::version() const
+{
+    return m_routes.version;
+}
+
+const ForwardRoute *RouteIndex::find(std::string_view host, std::string_view target) const
+{
+    const auto positions = m_byHost.find(normalizedHost(host));
+    if (positions == m_byHost.end()) {
+        return nullptr;
+    }
+    const std::string_view path = withoutQuery(target);
+    for (const std::size_t position : positions->second) {
+        const ForwardRoute &route = m_routes.routes[position];
+        if (path.starts_with(route.pathPrefix)) {
+            return &route;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace Filbertmount
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -4,13 +4,6 @@
 
 namespace Filbertmount {
 
-namespace {
-
-// Bounds the burst of retries after a quiet time, when many requests fail at once.
-constexpr double LargestBurst = 20;
-
-} // namespace
-
 RetryBudget::RetryBudget(double percent)
     : m_percent(percent)
 {
@@ -21,9 +14,15 @@
     m_percent = percent;
 }
 
+void RetryBudget::setLargestBurst(double tokens)
+{
+    m_largestBurst = tokens;
+    m_tokens = std::min(m_tokens, tokens);
+}
+
 void RetryBudget::noteFirstAttempt()
 {
-    m_tokens = std::min(LargestBurst, m_tokens + m_percent / 100);
+    m_tokens = std::min(m_largestBurst, m_tokens + m_percent / 100);
 }
 
 bool RetryBudget::take()
@@ -37,7 +36,7 @@
 
 void RetryBudget::giveBack()
 {
-    m_tokens = std::min(LargestBurst, m_tokens + 1);
+    m_tokens = std::min(m_largestBurst, m_tokens + 1);
 }
 
 } // namespace Filbertmount
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -114,6 +114,7 @@
         const absl::MutexLock serviceLock(&service.mutex);
         service.routing = routing;
         service.retries.setPercent(routing.retries.budgetPercent);
+        service.retries.setLargestBurst(routing.retries.largestBurst);
         service.hedges.setPercent(routing.hedging.budgetPercent);
         service.router.setOptions({.coldStart = routing.coldStart},
                                   {.queue = static_cast<std::size_t>(std::max(0, routing.limits.queue))});
@@ -343,6 +344,45 @@
     m_admission.finish(team);
 }
 
+void Router::recordPace(const ServiceName &name, const UpstreamId &upstream, double pace)
+{
+    Effects effects;
+    {
+        const absl::ReaderMutexLock lock(&m_mutex);
+        const std::shared_ptr<Service> service = find(name);
+        if (!service) {
+            return;
+        }
+        const absl::MutexLock serviceLock(&service->mutex);
+        if (const auto index = service->router.table().find(upstream.value())) {
+            service->router.recordPace(*index, pace, now(), service->output);
+        }
+        collect(*service, effects);
+    }
+    run(effects);
+}
+
+std::vector<std::pair<ServiceName, RoutedUpstream>> Router::upstreamsToMeasure(Duration age) const
+{
+    std::vector<std::pair<ServiceName, RoutedUpstream>> result;
+    const Instant time = now();
+    const absl::ReaderMutexLock lock(&m_mutex);
+    for (const auto &[name, service] : m_services) {
+        const absl::MutexLock serviceLock(&service->mutex);
+        const UpstreamTable &table = service->router.table();
+        if (!service->router.dispatcher().isRunning()) {
+            continue;
+        }
+        for (UpstreamIndex index = 0; index < table.size(); ++index) {
+            const std::optional<Instant> stated = table.lastPace(index);
+            if (table.limit(index) > 0 && (!stated || time - *stated >= age)) {
+                result.emplace_back(name, table.upstream(index));
+            }
+        }
+    }
+    return result;
+}
+
 void Router::tick(Instant now)
 {
     Effects effects;
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -82,6 +82,13 @@
     flush(now, output);
 }
 
+void ServiceRouter::recordPace(UpstreamIndex index, double pace, Instant now, ServiceRouterOutput &output)
+{
+    m_table.recordPace(index, pace, now);
+    m_dispatcher.upstreamsChanged(now, m_outbox);
+    flush(now, output);
+}
+
 void ServiceRouter::tick(Instant now, ServiceRouterOutput &output)
 {
     m_table.tick(now);
--- a/src/routing/slotwire.cpp
+++ b/src/routing/slotwire.cpp
@@ -3,6 +3,7 @@
 #include "peer.pb.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Filbertmount {
 
@@ -12,6 +13,7 @@
 constexpr std::uint64_t LongestWait = 3'600'000'000;
 // More attempts than connections to one upstream are not possible; the bound keeps malformed counts harmless.
 constexpr std::uint32_t LargestCount = 10'000;
+constexpr double PercentOfUsual = 100.0;
 
 std::uint64_t toMicroseconds(Duration duration)
 {
@@ -86,6 +88,9 @@
         wire.set_upstream(m_table.upstream(release.upstream).id.value());
         wire.set_service_time_us(toMicroseconds(release.report.serviceTime));
         wire.set_outcome(static_cast<std::uint32_t>(release.report.outcome));
+        if (release.report.pace) {
+            wire.set_pace_percent(static_cast<std::uint32_t>(std::lround(*release.report.pace * PercentOfUsual)));
+        }
     }
 
     void operator()(const InFlightReport &report)
@@ -150,6 +155,14 @@
                                    .retryAfter = fromMicroseconds(wire.retry_after_us())});
 }
 
+std::optional<double> readPace(const Wire::SlotRelease &wire)
+{
+    if (wire.pace_percent() == 0) {
+        return std::nullopt;
+    }
+    return wire.pace_percent() / PercentOfUsual;
+}
+
 ReceivedSlotMessage read(const Wire::SlotRelease &wire, const UpstreamTable &table)
 {
     const auto index = table.find(wire.upstream());
@@ -161,7 +174,8 @@
                                    .grant = wire.grant(),
                                    .upstream = index.value_or(0),
                                    .report = {.outcome = static_cast<AttemptOutcome>(wire.outcome()),
-                                              .serviceTime = fromMicroseconds(wire.service_time_us())}});
+                                              .serviceTime = fromMicroseconds(wire.service_time_us()),
+                                              .pace = readPace(wire)}});
 }
 
 ReceivedSlotMessage read(const Wire::InFlightReport &wire, const UpstreamTable &table)
--- a/src/routing/upstreamtable.cpp
+++ b/src/routing/upstreamtable.cpp
@@ -15,6 +15,11 @@
 constexpr double SlownessHalfLifeSeconds = 1.0;
 // Caps one sample at 20 times the mean, so that a single hung request does not keep an upstream out for long.
 constexpr double LargestLogSample = 3.0;
+// Neighbours on an upstream's machine come and go within 150 ms or so; an older statement says little.
+constexpr Duration PaceLifetime = std::chrono::milliseconds(200);
+constexpr double PaceSmoothing = 1.0 / 64;
+constexpr double FastestPace = 0.1;
+constexpr double SlowestPace = 50.0;
 constexpr double SheddingDecrease = 0.7;
 constexpr double SuccessIncrease = 0.02;
 constexpr int ConnectFailureWeight = 5; // A refused connection proves that nobody listens: one is enough to eject.
@@ -125,6 +130,9 @@
 void UpstreamTable::record(UpstreamIndex index, const AttemptReport &report, Instant now)
 {
     Entry &entry = m_entries[index];
+    if (report.pace) {
+        recordPace(index, *report.pace, now);
+    }
     switch (report.outcome) {
     case AttemptOutcome::Success:
         recordSuccess(entry, report.serviceTime, now);
@@ -162,6 +170,29 @@
     refresh(index, now);
 }
 
+void UpstreamTable::recordPace(UpstreamIndex index, double pace, Instant now)
+{
+    Entry &entry = m_entries[index];
+    entry.pace = std::clamp(pace, FastestPace, SlowestPace);
+    entry.paceAt = now;
+    m_meanPace += PaceSmoothing * (*entry.pace - m_meanPace);
+    refresh(index, now);
+}
+
+std::optional<Instant> UpstreamTable::lastPace(UpstreamIndex index) const
+{
+    const Entry &entry = m_entries[index];
+    return entry.pace ? std::optional(entry.paceAt) : std::nullopt;
+}
+
+double UpstreamTable::paceOf(const Entry &entry, Instant now) const
+{
+    if (!entry.pace) {
+        return 1;
+    }
+    return now - entry.paceAt <= PaceLifetime ? *entry.pace : m_meanPace;
+}
+
 void UpstreamTable::recordSuccess(Entry &entry, Duration serviceTime, Instant now)
 {
     const double seconds = std::max(toSeconds(serviceTime), 1e-6);
@@ -170,7 +201,8 @@
     const double weight = std::max(ServiceSmoothing, 1.0 / static_cast<double>(m_samples));
     m_meanSeconds += weight * (seconds - m_meanSeconds);
     m_meanLog += weight * (logarithm - m_meanLog);
-    recordSlowness(entry, logarithm - m_meanLog, now);
+    // A time that the stated pace explains says nothing of the upstream itself.
+    recordSlowness(entry, logarithm - m_meanLog - std::log(paceOf(entry, now) / m_meanPace), now);
     entry.shareAfterShedding = std::min(1.0, entry.shareAfterShedding + SuccessIncrease);
     entry.failuresInRow = 0;
     entry.ejectionsInRow = 0;
@@ -269,7 +301,8 @@
     Entry &entry = m_entries[index];
     const int limit = currentLimit(entry, now);
     const double age = std::max(0.0, toSeconds(now - entry.lastSample));
-    const double slowness = std::exp(entry.logSlowness * std::exp2(-age / SlownessHalfLifeSeconds));
+    const double learned = std::exp(entry.logSlowness * std::exp2(-age / SlownessHalfLifeSeconds));
+    const double slowness = learned * paceOf(entry, now);
     if (limit == entry.limit && slowness == entry.slowness) {
         return;
     }
--- a/src/settings/parseinstancesettings.cpp
+++ b/src/settings/parseinstancesettings.cpp
@@ -5,14 +5,13 @@
 #include "document/byteunits.h"
 #include "document/documentchecks.h"
 #include "document/tomltable.h"
+#include "settings/settingschecks.h"
 
 #include <absl/random/random.h>
 
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <fstream>
-#include <sstream>
 
 namespace Filbertmount {
 
@@ -37,24 +36,6 @@
     return InstanceId("entry-" + std::string(text.data()));
 }
 
-std::string checkAnyAddress(const std::string &text)
-{
-    return parseEndpoint(text) ? std::string() : "\"IP:port\", not a host name";
-}
-
-// Addresses that are given to other instances.
-std::string checkOwnAddress(const std::string &text)
-{
-    const std::optional<Endpoint> endpoint = parseEndpoint(text);
-    return endpoint && !endpoint->wildcard() ? std::string() : "\"IP:port\" under which other instances reach this one";
-}
-
-std::string checkRemoteAddress(const std::string &text)
-{
-    const std::optional<Endpoint> endpoint = parseEndpoint(text);
-    return endpoint && endpoint->port != 0 && !endpoint->wildcard() ? std::string() : "\"IP:port\" with a port above 0";
-}
-
 std::string checkFileName(const std::string &text)
 {
     return text.empty() ? "a file name" : std::string();
@@ -280,13 +261,8 @@
 
 Result<InstanceSettings> readInstanceSettings(const std::string &fileName)
 {
-    std::ifstream file(fileName);
-    std::stringstream text;
-    text << file.rdbuf();
-    if (!file.good()) {
-        return boost::leaf::new_error(Failure{.step = Step::ReadSettings, .peer = fileName, .reason = "the file cannot be read"});
-    }
-    return parseInstanceSettings(text.str(), fileName);
+    BOOST_LEAF_AUTO(text, readSettingsFile(fileName));
+    return parseInstanceSettings(text, fileName);
 }
 
 } // namespace Filbertmount
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,5 +1,7 @@
 #include <filbertmount/telemetry/log.h>
 
+#include "telemetry/boundedlogbackend.h"
+
 #include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
@@ -13,6 +15,8 @@
 #include <boost/make_shared.hpp>
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <iostream>
 
@@ -20,7 +24,13 @@
 
 namespace {
 
-using Sink = boost::log::sinks::synchronous_sink<boost::log::sinks::text_ostream_backend>;
+template<class Backend>
+void addSink(boost::shared_ptr<Backend> backend)
+{
+    auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<Backend>>(std::move(backend));
+    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
+}
 
 std::atomic<bool> sinkIsSetUp{false};
 std::atomic<LogLevel> lowestLevel{LogLevel::Info};
@@ -92,12 +102,14 @@
     if (sinkIsSetUp.exchange(true)) {
         return;
     }
+    if (options.output == LogOutput::StandardOutput) {
+        addSink(boost::make_shared<BoundedLogBackend>(STDOUT_FILENO));
+        return;
+    }
     auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
     backend->auto_flush(true);
-    auto sink = boost::make_shared<Sink>(backend);
-    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
-    boost::log::core::get()->add_sink(sink);
+    addSink(std::move(backend));
 }
 
 std::string
