List the store again after a failed call; count open sessions only; probe from one dispatcher

Ruled out: a slow store, which answered lists within 12 ms. Change: any failed call leads to a listing; the listener forgets closed sessions before it refuses one; only the dispatcher of the moment probes.

--- a/src/edge/listener.cpp
+++ b/src/edge/listener.cpp
@@ -45,12 +45,16 @@
             });
             return;
         }
-        if (m_sessions.size() >= m_sweepAt) {
+        if (m_sessions.size() >= std::min(m_sweepAt, m_maxSessions)) {
             forgetClosed();
         }
         if (m_sessions.size() < m_maxSessions) {
             m_sessions.push_back(std::make_shared<ServerSession>(std::move(socket), m_handler));
             m_sessions.back()->start();
+        } else {
+            logLine(LogLevel::Warning,
+                    "a connection was closed at once: too many are open",
+                    {{.name = "open", .value = static_cast<std::int64_t>(m_sessions.size())}});
         }
         accept();
     });
--- a/src/edge/storefollower.h
+++ b/src/edge/storefollower.h
@@ -12,8 +12,8 @@
 namespace Filbertmount {
 
 /**
- * Keeps one kind of the store's objects up to date in the mirror: lists them, then watches for changes. Lists again when
- * the history is gone. Lives on the IoLoop.
+ * Keeps one kind of the store's objects up to date in the mirror: lists them, then watches for changes. Lists again after
+ * every failure and when the history is gone. Lives on the IoLoop.
  */
 template<StoreProtocol Protocol>
 class StoreFollower
@@ -147,9 +147,11 @@
         m_hasFailed = true;
         m_timer.expires_after(m_retry);
         m_retry = std::min(m_retry * 2, m_options.longestRetry);
+        // A watch that was cut may have missed changes, and one from the same revision may go on waiting although the
+        // history that it needs is gone. Only a listing tells what holds now.
         m_timer.async_wait([this](const error_code &cancelled) {
             if (!cancelled) {
-                watch();
+                list();
             }
         });
     }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -370,7 +370,7 @@
     for (const auto &[name, service] : m_services) {
         const absl::MutexLock serviceLock(&service->mutex);
         const UpstreamTable &table = service->router.table();
-        if (!service->router.dispatcher().isRunning()) {
+        if (service->router.client().dispatcher() != SelfMember || m_members.live().size() < 2) {
             continue;
         }
         for (UpstreamIndex index = 0; index < table.size(); ++index) {
