Use one member id in fleet and router; count a nearly full upstream as slower

With two slots, the second request slows both by 1.7, which the selector's constant per load did not weigh. Ruled out: missing grants (0 of 3,018 requests were placed without one; 99 in 100 within 3.2 ms). Change: the id is drawn once in EdgeServer; the selector multiplies slowness by 1 + 1.5 x load. Conclusion: the median of stock-view is still 99 ms for 60 ms of work.

--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -49,6 +49,8 @@
     IoLoop &m_loop;
     EdgeSettings m_settings;
     HttpDialect m_dialect;
+    /** Drawn once: every part must know the instance under the same id. */
+    Member m_self;
     Metrics m_metrics;
     StateMirror m_mirror;
     Fleet m_fleet;
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -118,6 +118,7 @@
     ++m_attempts;
     m_tried.push_back(placement.upstream);
     m_sentAt = ProcessClock::now();
+    m_placedAfter = m_sentAt - m_request.request.arrival;
     const bool isRepeatable = m_request.route->isRepeatable;
     m_connection =
         m_context.pool.take(placement.upstream, placement.address, isRepeatable ? LargestIdle : LargestIdleForUnrepeatable);
@@ -343,6 +344,8 @@
              {.name = "reason", .value = reason},
              {.name = "status", .value = std::int64_t{answer.status}},
              {.name = "upstream", .value = m_tried.empty() ? std::string() : m_tried.back().value()},
+             {.name = "granted_by", .value = m_placement ? m_placement->dispatcher.value() : std::string()},
+             {.name = "placed_ms", .value = toMilliseconds(m_placedAfter)},
              {.name = "attempts", .value = std::int64_t{m_attempts}},
              {.name = "elapsed_ms", .value = toMilliseconds(elapsed)},
              {.name = "left_ms", .value = toMilliseconds(timeLeft())}});
--- a/src/routing/slotselector.cpp
+++ b/src/routing/slotselector.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Between upstreams of like speed, the one with more free slots is taken.
-constexpr double KeyPerLoad = 0.25;
+// Requests beside each other slow each other down: a machine of the services measured takes 1.7 times as long when it is
+// nearly full, and so does the request that runs there already.
+constexpr double SlownessPerLoad = 1.5;
 // The own zone saves two crossings of under 1 ms; a quarter of a service time is more than that for our services.
 constexpr double OwnZoneAdvantage = 1.25;
 
@@ -81,7 +82,7 @@
     // An upstream whose limit is reduced is to be spared, so it gets nothing in advance.
     const bool mayTakeInAdvance = limit > 0 && inFlight == limit && limit == table.upstream(index).slots;
     Place &place = m_places[index];
-    place.freeKey = inFlight >= limit ? TournamentTree::Absent : slowness + KeyPerLoad * inFlight / limit;
+    place.freeKey = inFlight >= limit ? TournamentTree::Absent : slowness * (1 + SlownessPerLoad * inFlight / limit);
     place.advanceKey = TournamentTree::Absent;
     if (mayTakeInAdvance) {
         place.advanceKey = slowness;
@@ -112,7 +113,7 @@
 {
     hide(excluded);
     UpstreamIndex chosen = None;
-    double lowest = largestSlowness + KeyPerLoad;
+    double lowest = largestSlowness * (1 + SlownessPerLoad);
     for (const auto &zone : m_zones) {
         const TournamentTree &tree = slots == Slots::Free ? zone->free : zone->inAdvance;
         const std::size_t leaf = tree.best();
