Ask the upstreams that get the next requests for their pace every 20 ms

Ruled out: waiting for grants, and load of the upstream at the end of the request (median 68 ms at either pace). Change: the dispatcher asks the three free upstreams with the lowest key when their pace is older than 20 ms, all others after 150 ms.

--- a/include/filbertmount/routing/router.h
+++ b/include/filbertmount/routing/router.h
@@ -96,8 +96,9 @@
 
     /** Takes into account what an upstream says of its load outside of an attempt, such as to a probe. */
     void recordPace(const ServiceName &service, const UpstreamId &upstream, double pace);
-    /** Usable upstreams of services that this instance dispatches and whose pace is unknown or older than @p age. */
-    [[nodiscard]] std::vector<std::pair<ServiceName, RoutedUpstream>> upstreamsToMeasure(Duration age) const;
+    /** Usable upstreams of services that this instance dispatches and whose pace should be asked for, those first that are
+     * likely to get the next requests. */
+    [[nodiscard]] std::vector<std::pair<ServiceName, RoutedUpstream>> upstreamsToMeasure(const PaceAges &ages) const;
 
     /** Handles what is due. Call every few milliseconds. */
     void tick(Instant now);
--- a/include/filbertmount/routing/servicerouter.h
+++ b/include/filbertmount/routing/servicerouter.h
@@ -9,6 +9,14 @@
 
 namespace Filbertmount {
 
+/** How old the stated pace of an upstream may be before it is asked for. */
+struct PaceAges {
+    /** Upstreams with a free slot that are expected to be the fastest: they get the next requests. */
+    std::size_t candidates = 3;
+    Duration candidate = std::chrono::milliseconds(20);
+    Duration other = std::chrono::milliseconds(150);
+};
+
 struct ServiceRouterOptions {
     UpstreamTableOptions table;
     SlotDispatcherOptions dispatcher;
@@ -53,6 +61,8 @@
     void handle(MemberIndex from, const SlotMessage &message, Instant now, ServiceRouterOutput &output);
     /** A grant of an upstream that is not in the table. */
     void handleUnknownUpstream(MemberIndex from, const SlotGrant &grant, Instant now, ServiceRouterOutput &output);
+    /** Usable upstreams whose pace should be asked for, those first that are likely to get the next requests. */
+    [[nodiscard]] std::vector<UpstreamIndex> upstreamsToMeasure(const PaceAges &ages, Instant now) const;
     /** Takes into account how fast an upstream says that it works. */
     void recordPace(UpstreamIndex index, double pace, Instant now, ServiceRouterOutput &output);
     /** Call every millisecond or few. */
--- a/include/filbertmount/routing/slotselector.h
+++ b/include/filbertmount/routing/slotselector.h
@@ -29,6 +29,9 @@
     /** Brings one upstream's place in the order up to date. */
     void refresh(const UpstreamTable &table, UpstreamIndex index, int inFlight);
 
+    /** Order of an upstream among those with a free slot, the lowest first; above all others when it has none. */
+    [[nodiscard]] static double freeKey(const UpstreamTable &table, UpstreamIndex index, int inFlight);
+
     /** Which upstreams are considered. */
     enum class Slots : std::uint8_t {
         Free,
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(5);
-constexpr std::uint64_t TicksPerProbe = 4;
+constexpr std::uint64_t TicksPerProbe = 2;
 constexpr std::uint64_t TicksPerMaintenance = 40;
 // A process that did not run for this long was suspended or starved; what it knows may be old.
 constexpr Duration StoodStill = std::chrono::milliseconds(700);
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -295,6 +295,7 @@
     AttemptReport report{.outcome = outcome, .serviceTime = elapsed};
     const std::string *load = findHeader(headers, m_context.dialect.upstreamLoad);
     if (load != nullptr) {
+        m_lastLoad = *load;
         if (const std::optional<UpstreamLoad> parsed = m_context.dialect.parseLoad(*load)) {
             report.pace = parsed->pace;
         }
@@ -346,6 +347,7 @@
              {.name = "upstream", .value = m_tried.empty() ? std::string() : m_tried.back().value()},
              {.name = "granted_by", .value = m_placement ? m_placement->dispatcher.value() : std::string()},
              {.name = "placed_ms", .value = toMilliseconds(m_placedAfter)},
+             {.name = "upstream_load", .value = m_lastLoad},
              {.name = "attempts", .value = std::int64_t{m_attempts}},
              {.name = "elapsed_ms", .value = toMilliseconds(elapsed)},
              {.name = "left_ms", .value = toMilliseconds(timeLeft())}});
--- a/src/edge/forwardedcall.h
+++ b/src/edge/forwardedcall.h
@@ -73,6 +73,8 @@
     std::shared_ptr<ClientConnection> m_connection;
     absl::InlinedVector<UpstreamId, 2> m_tried;
     Instant m_sentAt{};
+    /** Load that the last upstream stated in its answer, as received. */
+    std::string m_lastLoad;
     /** From the arrival to the start of the last attempt. */
     Duration m_placedAfter{0};
     int m_attempts = 0;
--- a/src/edge/probeloop.h
+++ b/src/edge/probeloop.h
@@ -13,8 +13,7 @@
 namespace Filbertmount {
 
 struct ProbeLoopOptions {
-    /** An upstream whose last stated pace is older than this is asked. */
-    Duration paceAge = std::chrono::milliseconds(100);
+    PaceAges ages;
     Duration timeout = std::chrono::milliseconds(150);
     /** Probes that one instance starts in a second at most. */
     int perSecond = 400;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -362,22 +362,21 @@
     run(effects);
 }
 
-std::vector<std::pair<ServiceName, RoutedUpstream>> Router::upstreamsToMeasure(Duration age) const
+std::vector<std::pair<ServiceName, RoutedUpstream>> Router::upstreamsToMeasure(const PaceAges &ages) const
 {
     std::vector<std::pair<ServiceName, RoutedUpstream>> result;
     const Instant time = now();
     const absl::ReaderMutexLock lock(&m_mutex);
+    if (m_members.live().size() < 2) {
+        return result;
+    }
     for (const auto &[name, service] : m_services) {
         const absl::MutexLock serviceLock(&service->mutex);
-        const UpstreamTable &table = service->router.table();
-        if (service->router.client().dispatcher() != SelfMember || m_members.live().size() < 2) {
+        if (service->router.client().dispatcher() != SelfMember) {
             continue;
         }
-        for (UpstreamIndex index = 0; index < table.size(); ++index) {
-            const std::optional<Instant> stated = table.lastPace(index);
-            if (table.limit(index) > 0 && (!stated || time - *stated >= age)) {
-                result.emplace_back(name, table.upstream(index));
-            }
+        for (const UpstreamIndex index : service->router.upstreamsToMeasure(ages, time)) {
+            result.emplace_back(name, service->router.table().upstream(index));
         }
     }
     return result;
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -1,5 +1,6 @@
 #include <filbertmount/routing/servicerouter.h>
 
+#include <algorithm>
 #include <array>
 #include <type_traits>
 
@@ -82,6 +83,27 @@
     flush(now, output);
 }
 
+std::vector<UpstreamIndex> ServiceRouter::upstreamsToMeasure(const PaceAges &ages, Instant now) const
+{
+    std::vector<std::pair<double, UpstreamIndex>> byKey;
+    for (UpstreamIndex index = 0; index < m_table.size(); ++index) {
+        if (m_table.limit(index) > 0) {
+            byKey.emplace_back(SlotSelector::freeKey(m_table, index, m_dispatcher.inFlight(index)), index);
+        }
+    }
+    std::sort(byKey.begin(), byKey.end());
+    std::vector<UpstreamIndex> result;
+    for (std::size_t position = 0; position < byKey.size(); ++position) {
+        const UpstreamIndex index = byKey[position].second;
+        const std::optional<Instant> stated = m_table.lastPace(index);
+        const Duration largestAge = position < ages.candidates ? ages.candidate : ages.other;
+        if (!stated || now - *stated >= largestAge) {
+            result.push_back(index);
+        }
+    }
+    return result;
+}
+
 void ServiceRouter::recordPace(UpstreamIndex index, double pace, Instant now, ServiceRouterOutput &output)
 {
     m_table.recordPace(index, pace, now);
--- a/src/routing/slotselector.cpp
+++ b/src/routing/slotselector.cpp
@@ -74,6 +74,12 @@
     m_zones[place.zone]->inAdvance.set(place.leaf, advanceKey);
 }
 
+double SlotSelector::freeKey(const UpstreamTable &table, UpstreamIndex index, int inFlight)
+{
+    const int limit = table.limit(index);
+    return inFlight >= limit ? TournamentTree::Absent : table.slowness(index) * (1 + SlownessPerLoad * inFlight / limit);
+}
+
 void SlotSelector::refresh(const UpstreamTable &table, UpstreamIndex index, int inFlight)
 {
     ensurePlace(table, index);
@@ -82,7 +88,7 @@
     // An upstream whose limit is reduced is to be spared, so it gets nothing in advance.
     const bool mayTakeInAdvance = limit > 0 && inFlight == limit && limit == table.upstream(index).slots;
     Place &place = m_places[index];
-    place.freeKey = inFlight >= limit ? TournamentTree::Absent : slowness * (1 + SlownessPerLoad * inFlight / limit);
+    place.freeKey = freeKey(table, index, inFlight);
     place.advanceKey = TournamentTree::Absent;
     if (mayTakeInAdvance) {
         place.advanceKey = slowness;
