Let few instances read the store and tell the others; refuse grants of upstreams that leave

Ruled out: late watch events, which arrived within 4 ms. Change: by rendezvous order one instance reads each kind and tells the others what changed, with a digest that the store's answers confirm every 700 ms; the next in order takes over when no confirmation is younger than a second. A grant of an upstream that is not in force is given back. Members find each other through the seeds of their settings.

--- a/apps/filbertmount-edge/main.cpp
+++ b/apps/filbertmount-edge/main.cpp
@@ -119,6 +119,7 @@
                                                  .instanceName = entryName(server.peerAddress()),
                                                  .instance = {.peerAddress = server.peerAddress()}},
                                                 server.mirror(),
+                                                server.spread(),
                                                 server.metrics(),
                                                 [&server](const MirrorChanges &changes) {
                                                     server.onStateChange(changes);
--- a/include/filbertmount/edge/edgesettings.h
+++ b/include/filbertmount/edge/edgesettings.h
@@ -7,6 +7,7 @@
 #include <filbertmount/types/instant.h>
 
 #include <string>
+#include <vector>
 
 namespace Filbertmount {
 
@@ -34,6 +35,8 @@
     int peerPort = 0;
     int metricsPort = 0;
     Endpoint store;
+    /** IP addresses of instances through which this one finds the others; they may be gone. */
+    std::vector<std::string> seeds;
     /** Time between SIGTERM and the end of the process at the latest. */
     Duration shutdownGrace = std::chrono::seconds(6);
     FleetRetryBudget retries;
--- /dev/null
+++ b/include/filbertmount/edge/readerelection.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <filbertmount/edge/sharedstate.h>
+#include <filbertmount/types/instant.h>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <optional>
+#include <vector>
+
+namespace Filbertmount {
+
+struct ReaderElectionOptions {
+    /** Knowledge that the store confirmed longer ago than this is stale. A reader gets an answer every 700 ms. */
+    Duration staleAfter = std::chrono::milliseconds(1000);
+    /** Each place in the order waits this much longer before it begins to read, so that they do not all begin at once. */
+    Duration waitPerPlace = std::chrono::milliseconds(80);
+    /** Places further behind wait no longer than this one. */
+    std::size_t lastWaitingPlace = 5;
+    /** A reader stops when one before it in the order has been fresh for this long. */
+    Duration handOverAfter = std::chrono::milliseconds(2500);
+    /** Time after the start until an instance begins to read: others may tell it all it needs. */
+    Duration startDelay = std::chrono::milliseconds(350);
+};
+
+/**
+ * Decides whether this instance reads one kind of object from the store, or relies on another one that does. Sans-I/O,
+ * not thread-safe.
+ *
+ * All members order themselves by rendezvous hash. The first reads; each next one takes over when it has heard of nobody
+ * for whom the store confirmed its knowledge lately. There may be several readers for a while, which costs calls only.
+ */
+class ReaderElection
+{
+public:
+    ReaderElection(StateKind kind, InstanceId self, Instant now, ReaderElectionOptions options = {});
+
+    void setMembers(const std::vector<InstanceId> &members);
+    /** @p from knows what the store confirmed at @p confirmed. */
+    void noteConfirmed(const InstanceId &from, Instant confirmed);
+    /** Forgets all confirmations, after a pause in which their age is not known. */
+    void forgetConfirmations();
+
+    /** Whether this instance should read from now on. */
+    bool decide(Instant now);
+    [[nodiscard]] bool isReading() const;
+    /** When the store last confirmed what any instance, this one included, has told. */
+    [[nodiscard]] std::optional<Instant> lastConfirmed() const;
+
+private:
+    [[nodiscard]] std::size_t ownPlace() const;
+    [[nodiscard]] bool isFresh(const InstanceId &member, Instant now) const;
+    [[nodiscard]] bool isOneBeforeFresh(Instant now) const;
+
+    StateKind m_kind;
+    InstanceId m_self;
+    ReaderElectionOptions m_options;
+    Instant m_started;
+    std::vector<InstanceId> m_order;
+    absl::flat_hash_map<InstanceId, Instant> m_confirmed;
+    /** Since when one before this instance has been fresh. */
+    std::optional<Instant> m_freshSince;
+    bool m_isReading = false;
+};
+
+} // namespace Filbertmount
--- a/include/filbertmount/edge/statemirror.h
+++ b/include/filbertmount/edge/statemirror.h
@@ -3,13 +3,11 @@
 #include <filbertmount/edge/sharedstate.h>
 #include <filbertmount/types/instant.h>
 
-#include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
-
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Filbertmount {
@@ -26,11 +24,21 @@
 
 /** What changed in the mirror. */
 struct MirrorChanges {
-    bool routes = false;
-    bool upstreams = false;
+    std::vector<StateChange> routes;
+    std::vector<StateChange> upstreams;
     bool instances = false;
     /** Objects that cannot be used, with the reason. */
     std::vector<std::pair<std::string, std::string>> rejected;
+
+    /** Changes of objects that instances tell each other. */
+    [[nodiscard]] const std::vector<StateChange> &of(StateKind kind) const;
+};
+
+/** Where news come from. */
+enum class StateSource : std::uint8_t {
+    Store,
+    /** Another instance, which has waited for lapsed entries already. */
+    Instance,
 };
 
 /**
@@ -45,8 +53,14 @@
     explicit StateMirror(StateMirrorOptions options = {});
 
     /** Takes a listing that is complete up to @p storeRevision: objects that it does not name are gone. */
-    MirrorChanges takeListing(StateKind kind, std::vector<StateObject> objects, Revision storeRevision, Instant now);
-    MirrorChanges takeChanges(StateKind kind, const StateChanges &changes, Instant now);
+    MirrorChanges takeListing(StateKind kind,
+                              std::vector<StateObject> objects,
+                              Revision storeRevision,
+                              Instant now,
+                              StateSource source = StateSource::Store);
+    MirrorChanges takeChanges(StateKind kind, const StateChanges &changes, Instant now, StateSource source = StateSource::Store);
+    /** All changes of @p kind up to @p revision are known, because an instance that knows them has the same objects. */
+    void confirm(StateKind kind, Revision revision);
     /** A call of the store got an answer or did not. */
     void noteContact(bool isAnswered, Instant now);
     /** Ends the grace of entries that did not come back. */
@@ -57,9 +71,12 @@
     /** Upstreams of all services by id, draining ones included. */
     [[nodiscard]] std::vector<UpstreamRecord> upstreams() const;
     [[nodiscard]] const std::map<std::string, StateObject> &instances() const;
+    /** All objects of @p kind that instances tell each other. */
+    [[nodiscard]] std::vector<StateChange> objects(StateKind kind) const;
+    /** A number that is the same for the same objects of @p kind. */
+    [[nodiscard]] std::uint64_t hash(StateKind kind) const;
     /** Where a watch of @p kind starts; nothing before the first listing. */
     [[nodiscard]] std::optional<Revision> revision(StateKind kind) const;
-    [[nodiscard]] bool isAway() const;
 
 private:
     struct UpstreamEntry {
@@ -72,12 +89,16 @@
     void apply(StateKind kind, StateObject object, MirrorChanges &changes);
     void applyRoutes(StateObject object, MirrorChanges &changes);
     void applyUpstream(StateObject object, MirrorChanges &changes);
-    void remove(StateKind kind, const std::string &name, Revision revision, Instant now, MirrorChanges &changes);
-    void removeUpstream(const std::string &name, Revision revision, Instant now, MirrorChanges &changes);
+    void
+    remove(StateKind kind, const std::string &name, Revision revision, bool mayBeLapsed, Instant now, MirrorChanges &changes);
+    void removeUpstream(const std::string &name, Revision revision, bool mayBeLapsed, Instant now, MirrorChanges &changes);
+    [[nodiscard]] std::vector<std::string> namesOf(StateKind kind) const;
     [[nodiscard]] bool isAfterOutage(Instant now) const;
 
     StateMirrorOptions m_options;
     std::shared_ptr<const RouteIndex> m_routes;
+    std::string m_routesName;
+    Revision m_routesRevision;
     std::map<std::string, UpstreamEntry> m_upstreams;
     std::map<std::string, StateObject> m_instances;
     std::map<StateKind, Revision> m_revisions;
--- a/include/filbertmount/routing/slotclient.h
+++ b/include/filbertmount/routing/slotclient.h
@@ -67,7 +67,7 @@
     void handle(MemberIndex from, const SlotGrant &grant, Instant now, SlotOutbox &outbox, SlotDecisions &decisions);
     void handle(MemberIndex from, const SlotQueued &queued, Instant now);
     void handle(MemberIndex from, const SlotRefusal &refusal, Instant now, SlotDecisions &decisions);
-    /** The dispatcher granted an upstream that this instance does not know. */
+    /** The dispatcher granted an upstream that this instance does not know or that takes nothing new. */
     void
     handleUnknownUpstream(MemberIndex from, const SlotGrant &grant, Instant now, SlotOutbox &outbox, SlotDecisions &decisions);
 
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -48,6 +48,18 @@
             .region = settings.region};
 }
 
+/** Instances use the same port for messages, so the seeds' addresses are enough. */
+std::vector<std::string> seedAddresses(const EdgeSettings &settings)
+{
+    std::vector<std::string> addresses;
+    for (const std::string &ip : settings.seeds) {
+        if (ip != settings.ip) {
+            addresses.push_back(ip + ":" + std::to_string(settings.peerPort));
+        }
+    }
+    return addresses;
+}
+
 Tcp::endpoint listenAddress(const Endpoint &endpoint)
 {
     return *toTcpEndpoint(endpoint.text());
@@ -65,7 +77,12 @@
     , m_settings(std::move(settings))
     , m_dialect(std::move(dialect))
     , m_self(selfMember(m_settings))
-    , m_fleet(loop, {.cluster = Cluster, .self = m_self, .seed = randomSeed()}, m_metrics)
+    , m_fleet(loop, {.cluster = Cluster, .self = m_self, .seeds = seedAddresses(m_settings), .seed = randomSeed()}, m_metrics)
+    , m_spread(m_mirror,
+               m_fleet,
+               [this](const MirrorChanges &changes) {
+                   onStateChange(changes);
+               })
     , m_router({.self = m_self.id, .zone = m_settings.zone, .send = m_fleet.sender(), .seed = randomSeed()})
     , m_pool(loop)
     , m_probes(loop, m_dialect, m_router, m_metrics)
@@ -110,6 +127,11 @@
     return m_mirror;
 }
 
+StateSpread &EdgeServer::spread()
+{
+    return m_spread;
+}
+
 Metrics &EdgeServer::metrics()
 {
     return m_metrics;
@@ -151,7 +173,9 @@
     }
     if (m_ticks % TicksPerMaintenance == 0) {
         m_pool.closeExpired(now);
-        onStateChange(m_mirror.tick(now));
+        const MirrorChanges changes = m_mirror.tick(now);
+        onStateChange(changes);
+        m_spread.tellChanges(changes, now);
     }
     if (m_onShutDown) {
         checkShutdown();
@@ -165,10 +189,10 @@
                 "an object of the store cannot be used",
                 {{.name = "object", .value = name}, {.name = "reason", .value = reason}});
     }
-    if (changes.routes) {
+    if (!changes.routes.empty()) {
         applyRoutes();
     }
-    if (changes.upstreams) {
+    if (!changes.upstreams.empty()) {
         applyUpstreams();
     }
     if (changes.instances) {
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -5,6 +5,7 @@
 #include "edge/listener.h"
 #include "edge/probeloop.h"
 #include "edge/servicehandler.h"
+#include "edge/statespread.h"
 
 #include <filbertmount/edge/edgesettings.h>
 #include <filbertmount/edge/httpdialect.h>
@@ -25,6 +26,7 @@
     EdgeServer(IoLoop &loop, EdgeSettings settings, HttpDialect dialect);
 
     [[nodiscard]] StateMirror &mirror();
+    [[nodiscard]] StateSpread &spread();
     [[nodiscard]] Metrics &metrics();
     [[nodiscard]] std::string peerAddress() const;
 
@@ -54,6 +56,7 @@
     Metrics m_metrics;
     StateMirror m_mirror;
     Fleet m_fleet;
+    StateSpread m_spread;
     Router m_router;
     UpstreamPool m_pool;
     ProbeLoop m_probes;
--- a/src/edge/edgesettings.cpp
+++ b/src/edge/edgesettings.cpp
@@ -116,6 +116,13 @@
     root.readTable("retries", [&](TomlTable &table) {
         readRetries(table, settings.retries);
     });
+    root.readTable("fleet", [&](TomlTable &table) {
+        std::vector<std::string> addresses;
+        table.readTexts("seeds", addresses, checkAnyAddress);
+        for (const std::string &address : addresses) {
+            settings.seeds.push_back(parseEndpoint(address).value_or(Endpoint()).ip);
+        }
+    });
     root.readTable("limits", [&](TomlTable &table) {
         table.readInteger("descriptors", settings.descriptors, {.lowest = FewestDescriptors, .highest = MostDescriptors});
     });
--- a/src/edge/fleet.cpp
+++ b/src/edge/fleet.cpp
@@ -19,7 +19,7 @@
 Fleet::Fleet(IoLoop &loop, Options options, Metrics &metrics)
     : m_options(std::move(options))
     , m_metrics(metrics)
-    , m_membership({.self = m_options.self, .staticPeers = {}, .seed = m_options.seed}, ProcessClock::now())
+    , m_membership({.self = m_options.self, .staticPeers = m_options.seeds, .seed = m_options.seed}, ProcessClock::now())
     , m_dispatcher(PeerDispatcher::Options{.cluster = m_options.cluster, .onDrop = {}})
     , m_socket(loop,
                {.cluster = m_options.cluster, .self = m_options.self.id, .listen = udpEndpoint(m_options.self.peerAddress)},
@@ -87,9 +87,42 @@
     m_socket.send(m_membership.leave());
 }
 
-MemberList Fleet::members() const
+void Fleet::setHandler(Wire::Body::KindCase kind, PeerDispatcher::BodyHandler handler)
 {
-    return *m_membership.live();
+    m_dispatcher.setHandler(kind, std::move(handler));
+}
+
+void Fleet::send(const InstanceId &to, Wire::Envelope envelope)
+{
+    m_socket.send(to, std::move(envelope));
+}
+
+void Fleet::sendToAll(const Wire::Envelope &envelope)
+{
+    for (const Member &member : m_lastMembers) {
+        if (member.id != m_options.self.id) {
+            m_socket.send(member.id, envelope);
+        }
+    }
+}
+
+const InstanceId &Fleet::self() const
+{
+    return m_options.self.id;
+}
+
+std::vector<InstanceId> Fleet::memberIds() const
+{
+    std::vector<InstanceId> ids;
+    for (const Member &member : m_lastMembers) {
+        ids.push_back(member.id);
+    }
+    return ids;
+}
+
+std::uint64_t Fleet::memberVersion() const
+{
+    return m_memberVersion;
 }
 
 void Fleet::followMembers()
@@ -98,7 +131,7 @@
         return;
     }
     m_memberVersion = m_membership.version();
-    MemberList current = members();
+    MemberList current = *m_membership.live();
     std::vector<InstanceId> ids;
     for (const Member &member : current) {
         ids.push_back(member.id);
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -19,6 +19,8 @@
     struct Options {
         std::string cluster;
         Member self;
+        /** "IP:port" of instances through which the others are found. */
+        std::vector<std::string> seeds;
         std::uint64_t seed = 1;
     };
 
@@ -32,7 +34,16 @@
     void tick(Instant now);
     /** Tells the others that this instance leaves. */
     void leave();
-    [[nodiscard]] MemberList members() const;
+    /** Passes messages of @p kind to @p handler. */
+    void setHandler(Wire::Body::KindCase kind, PeerDispatcher::BodyHandler handler);
+    void send(const InstanceId &to, Wire::Envelope envelope);
+    /** Sends to every other live member. */
+    void sendToAll(const Wire::Envelope &envelope);
+    [[nodiscard]] const InstanceId &self() const;
+    /** Ids of the live members, this instance included. */
+    [[nodiscard]] std::vector<InstanceId> memberIds() const;
+    /** Rises with each change of the live members. */
+    [[nodiscard]] std::uint64_t memberVersion() const;
 
 private:
     void setHandlers();
--- a/src/edge/instanceregistration.h
+++ b/src/edge/instanceregistration.h
@@ -14,9 +14,8 @@
 /**
  * Enters an entry instance into the store's list of instances and reads the others from it. Lives on the IoLoop.
  *
- * The list is read again after the own entry was made, so that of two instances which start together at least the later
- * one knows the other; from then on the membership protocol tells the rest. An instance that finds its entry from an
- * earlier run makes no write.
+ * Instances find each other through the seeds of their settings; the list serves when all of those are gone, so it may be
+ * old and is read a while after the start. An instance that finds its entry from an earlier run makes no write.
  */
 template<StoreProtocol Protocol>
 class InstanceRegistration
@@ -46,13 +45,13 @@
 
     void start()
     {
-        list(std::string());
+        readLater(FirstRead);
     }
 
 private:
     void list(const std::string &after)
     {
-        m_calls.call(m_protocol.listRequest(StateKind::Instances, after, false),
+        m_calls.call(m_protocol.listRequest(StateKind::Instances, after, true),
                      "list",
                      m_options.callTimeout,
                      [this](const CallResult &result) {
@@ -77,7 +76,7 @@
         }
         m_onChange(
             m_mirror.takeListing(StateKind::Instances, std::exchange(m_listed, {}), page->storeRevision, ProcessClock::now()));
-        if (!m_mirror.instances().contains(m_name)) {
+        if (!m_hasEntered && !m_mirror.instances().contains(m_name)) {
             enter();
         }
     }
@@ -97,21 +96,31 @@
                              retryLater();
                              return;
                          }
-                         list(std::string());
+                         m_hasEntered = true;
+                         readLater(SecondRead);
                      });
     }
 
     void retryLater()
     {
-        m_timer.expires_after(m_retry);
+        readLater(m_retry);
         m_retry = std::min<Duration>(2 * m_retry, LongestRetry);
+    }
+
+    void readLater(Duration delay)
+    {
+        m_timer.expires_after(delay);
         m_timer.async_wait([this](const error_code &cancelled) {
             if (!cancelled) {
-                start();
+                list(std::string());
             }
         });
     }
 
+    /** By then the seeds have answered if they live. */
+    static constexpr Duration FirstRead = std::chrono::milliseconds(600);
+    /** An answer that may be old shows entries that were made at the same time by then. */
+    static constexpr Duration SecondRead = std::chrono::seconds(4);
     /** Nothing urgent depends on the list of instances. */
     static constexpr Duration LongestRetry = std::chrono::seconds(4);
 
@@ -125,6 +134,7 @@
     Asio::steady_timer m_timer;
     Duration m_retry;
     std::vector<StateObject> m_listed;
+    bool m_hasEntered = false;
 };
 
 } // namespace Filbertmount
--- /dev/null
+++ b/src/edge/readerelection.cpp
@@ -0,0 +1,96 @@
+#include <filbertmount/edge/readerelection.h>
+
+#include <filbertmount/types/rendezvoushash.h>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+ReaderElection::ReaderElection(StateKind kind, InstanceId self, Instant now, ReaderElectionOptions options)
+    : m_kind(kind)
+    , m_self(std::move(self))
+    , m_options(options)
+    , m_started(now)
+    , m_order{m_self}
+{
+}
+
+void ReaderElection::setMembers(const std::vector<InstanceId> &members)
+{
+    const std::string key = "store-reader/" + std::string(stateKindName(m_kind));
+    m_order = rendezvousOrder(key, members, members.size());
+    if (std::find(m_order.begin(), m_order.end(), m_self) == m_order.end()) {
+        m_order.push_back(m_self);
+    }
+    absl::erase_if(m_confirmed, [this](const auto &item) {
+        return std::find(m_order.begin(), m_order.end(), item.first) == m_order.end();
+    });
+}
+
+void ReaderElection::noteConfirmed(const InstanceId &from, Instant confirmed)
+{
+    Instant &known = m_confirmed[from];
+    known = std::max(known, confirmed);
+}
+
+void ReaderElection::forgetConfirmations()
+{
+    m_confirmed.clear();
+    m_freshSince.reset();
+}
+
+std::size_t ReaderElection::ownPlace() const
+{
+    return static_cast<std::size_t>(std::find(m_order.begin(), m_order.end(), m_self) - m_order.begin());
+}
+
+bool ReaderElection::isFresh(const InstanceId &member, Instant now) const
+{
+    const auto confirmed = m_confirmed.find(member);
+    return confirmed != m_confirmed.end() && now - confirmed->second < m_options.staleAfter;
+}
+
+bool ReaderElection::isOneBeforeFresh(Instant now) const
+{
+    const auto own = std::find(m_order.begin(), m_order.end(), m_self);
+    return std::any_of(m_order.begin(), own, [&](const InstanceId &member) {
+        return isFresh(member, now);
+    });
+}
+
+std::optional<Instant> ReaderElection::lastConfirmed() const
+{
+    std::optional<Instant> last;
+    for (const auto &[member, confirmed] : m_confirmed) {
+        last = std::max(last.value_or(confirmed), confirmed);
+    }
+    return last;
+}
+
+bool ReaderElection::isReading() const
+{
+    return m_isReading;
+}
+
+bool ReaderElection::decide(Instant now)
+{
+    const std::size_t place = ownPlace();
+    if (!m_isReading) {
+        const Duration wait = m_options.waitPerPlace * static_cast<int>(std::min(place, m_options.lastWaitingPlace));
+        const std::optional<Instant> last = lastConfirmed();
+        const Instant from = last ? std::max(*last + m_options.staleAfter, m_started) : m_started + m_options.startDelay;
+        const bool isFirst = place == 0 && now >= m_started + m_options.startDelay;
+        m_isReading = isFirst || now >= from + wait;
+        m_freshSince.reset();
+        return m_isReading;
+    }
+    if (!isOneBeforeFresh(now)) {
+        m_freshSince.reset();
+        return true;
+    }
+    m_freshSince = m_freshSince.value_or(now);
+    m_isReading = now - *m_freshSince < m_options.handOverAfter;
+    return m_isReading;
+}
+
+} // namespace Filbertmount
--- a/src/edge/statemirror.cpp
+++ b/src/edge/statemirror.cpp
@@ -1,9 +1,42 @@
 #include <filbertmount/edge/statemirror.h>
 
+#include <filbertmount/types/rendezvoushash.h>
+
+#include <absl/container/flat_hash_set.h>
+
 #include <algorithm>
 
 namespace Filbertmount {
 
+namespace {
+
+std::uint64_t hashOf(const UpstreamRecord &record)
+{
+    std::string text = record.id.value();
+    text.append("|").append(record.service.value()).append("|").append(record.address);
+    text.append("|").append(std::to_string(record.slots)).append(record.isDraining ? "|d|" : "|r|");
+    text.append(std::to_string(record.incarnation.value()));
+    return stableHash(text);
+}
+
+/** Times that only count down make no difference. */
+bool isSameUpstream(const UpstreamRecord &left, const UpstreamRecord &right)
+{
+    return hashOf(left) == hashOf(right);
+}
+
+StateChange removalOf(const std::string &name, Revision revision)
+{
+    return {.object = {.name = name, .revision = revision, .value = MalformedObject()}, .isDeleted = true};
+}
+
+} // namespace
+
+const std::vector<StateChange> &MirrorChanges::of(StateKind kind) const
+{
+    return kind == StateKind::Routes ? routes : upstreams;
+}
+
 StateMirror::StateMirror(StateMirrorOptions options)
     : m_options(options)
 {
@@ -19,23 +52,36 @@
         m_silentSince.reset();
         return;
     }
-    if (!m_silentSince) {
-        m_silentSince = now;
-    }
+    m_silentSince = m_silentSince.value_or(now);
     m_isAway = m_isAway || now - *m_silentSince >= m_options.outageAfter;
 }
 
-bool StateMirror::isAway() const
+bool StateMirror::isAfterOutage(Instant now) const
 {
-    return m_isAway;
+    return m_isAway || (m_returnedAt && now - *m_returnedAt < m_options.lapsedEntryGrace);
 }
 
-bool StateMirror::isAfterOutage(Instant now) const
+std::vector<std::string> StateMirror::namesOf(StateKind kind) const
 {
-    return m_isAway || (m_returnedAt && now - *m_returnedAt < m_options.lapsedEntryGrace);
+    std::vector<std::string> names;
+    if (kind == StateKind::Upstreams) {
+        for (const auto &[name, entry] : m_upstreams) {
+            names.push_back(name);
+        }
+    }
+    if (kind == StateKind::Instances) {
+        for (const auto &[name, object] : m_instances) {
+            names.push_back(name);
+        }
+    }
+    return names;
 }
 
-MirrorChanges StateMirror::takeListing(StateKind kind, std::vector<StateObject> objects, Revision storeRevision, Instant now)
+MirrorChanges StateMirror::takeListing(StateKind kind,
+                                       std::vector<StateObject> objects,
+                                       Revision storeRevision,
+                                       Instant now,
+                                       StateSource source)
 {
     MirrorChanges changes;
     const std::optional<Revision> known = revision(kind);
@@ -46,20 +92,11 @@
     for (const StateObject &object : objects) {
         listed.insert(object.name);
     }
-    std::vector<std::string> missing;
-    for (const auto &[name, entry] : m_upstreams) {
-        if (kind == StateKind::Upstreams && !listed.contains(name)) {
-            missing.push_back(name);
-        }
-    }
-    for (const auto &[name, object] : m_instances) {
-        if (kind == StateKind::Instances && !listed.contains(name)) {
-            missing.push_back(name);
+    for (const std::string &name : namesOf(kind)) {
+        if (!listed.contains(name)) {
+            remove(kind, name, storeRevision, source == StateSource::Store, now, changes);
         }
     }
-    for (const std::string &name : missing) {
-        remove(kind, name, storeRevision, now, changes);
-    }
     for (StateObject &object : objects) {
         apply(kind, std::move(object), changes);
     }
@@ -67,21 +104,26 @@
     return changes;
 }
 
-MirrorChanges StateMirror::takeChanges(StateKind kind, const StateChanges &received, Instant now)
+MirrorChanges StateMirror::takeChanges(StateKind kind, const StateChanges &received, Instant now, StateSource source)
 {
     MirrorChanges changes;
     for (const StateChange &change : received.changes) {
         if (change.isDeleted) {
-            remove(kind, change.object.name, change.object.revision, now, changes);
+            remove(kind, change.object.name, change.object.revision, source == StateSource::Store, now, changes);
         } else {
             apply(kind, change.object, changes);
         }
     }
-    Revision &known = m_revisions[kind];
-    known = std::max(known, received.storeRevision);
+    confirm(kind, received.storeRevision);
     return changes;
 }
 
+void StateMirror::confirm(StateKind kind, Revision revision)
+{
+    Revision &known = m_revisions[kind];
+    known = std::max(known, revision);
+}
+
 void StateMirror::apply(StateKind kind, StateObject object, MirrorChanges &changes)
 {
     if (const auto *malformed = std::get_if<MalformedObject>(&object.value)) {
@@ -104,30 +146,37 @@
 
 void StateMirror::applyRoutes(StateObject object, MirrorChanges &changes)
 {
-    auto &routes = std::get<RouteSet>(object.value);
+    const auto &routes = std::get<RouteSet>(object.value);
     if (m_routes && routes.version <= m_routes->version()) {
         return;
     }
-    m_routes = std::make_shared<const RouteIndex>(std::move(routes));
-    changes.routes = true;
+    m_routes = std::make_shared<const RouteIndex>(routes);
+    m_routesName = object.name;
+    m_routesRevision = object.revision;
+    changes.routes.push_back({.object = std::move(object), .isDeleted = false});
 }
 
 void StateMirror::applyUpstream(StateObject object, MirrorChanges &changes)
 {
-    UpstreamEntry &entry = m_upstreams[object.name];
-    if (object.revision < entry.revision) {
+    const auto known = m_upstreams.find(object.name);
+    const bool isKnown = known != m_upstreams.end();
+    if (isKnown && object.revision < known->second.revision) {
         return;
     }
-    auto &record = std::get<UpstreamRecord>(object.value);
-    // Times that only count down change nothing.
-    const bool isSame = entry.record.isDraining == record.isDraining && entry.record.incarnation == record.incarnation
-        && entry.record.address == record.address && entry.record.service == record.service && entry.record.slots == record.slots
-        && !entry.dropAt && entry.revision != Revision();
-    entry = {.record = std::move(record), .revision = object.revision, .dropAt = {}};
-    changes.upstreams = changes.upstreams || !isSame;
+    const auto &record = std::get<UpstreamRecord>(object.value);
+    const bool isSame = isKnown && isSameUpstream(known->second.record, record);
+    m_upstreams[object.name] = {.record = record, .revision = object.revision, .dropAt = {}};
+    if (!isSame) {
+        changes.upstreams.push_back({.object = std::move(object), .isDeleted = false});
+    }
 }
 
-void StateMirror::remove(StateKind kind, const std::string &name, Revision revision, Instant now, MirrorChanges &changes)
+void StateMirror::remove(StateKind kind,
+                         const std::string &name,
+                         Revision revision,
+                         bool mayBeLapsed,
+                         Instant now,
+                         MirrorChanges &changes)
 {
     switch (kind) {
     case StateKind::Routes:
@@ -135,7 +184,7 @@
         changes.rejected.emplace_back(name, "the route set was deleted");
         break;
     case StateKind::Upstreams:
-        removeUpstream(name, revision, now, changes);
+        removeUpstream(name, revision, mayBeLapsed, now, changes);
         break;
     case StateKind::Instances:
         changes.instances = m_instances.erase(name) > 0 || changes.instances;
@@ -143,20 +192,25 @@
     }
 }
 
-void StateMirror::removeUpstream(const std::string &name, Revision revision, Instant now, MirrorChanges &changes)
+void StateMirror::removeUpstream(const std::string &name,
+                                 Revision revision,
+                                 bool mayBeLapsed,
+                                 Instant now,
+                                 MirrorChanges &changes)
 {
     const auto entry = m_upstreams.find(name);
     if (entry == m_upstreams.end() || revision < entry->second.revision) {
         return;
     }
     // An upstream that said that it drains is gone for good.
-    if (isAfterOutage(now) && !entry->second.record.isDraining) {
+    if (mayBeLapsed && isAfterOutage(now) && !entry->second.record.isDraining) {
         const Instant returned = m_isAway || !m_returnedAt ? now : *m_returnedAt;
         entry->second.dropAt = entry->second.dropAt.value_or(returned + m_options.lapsedEntryGrace);
+        entry->second.revision = revision;
         return;
     }
     m_upstreams.erase(entry);
-    changes.upstreams = true;
+    changes.upstreams.push_back(removalOf(name, revision));
 }
 
 MirrorChanges StateMirror::tick(Instant now)
@@ -167,8 +221,10 @@
     }
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
         const bool isOver = entry->second.dropAt && now >= *entry->second.dropAt;
+        if (isOver) {
+            changes.upstreams.push_back(removalOf(entry->first, entry->second.revision));
+        }
         entry = isOver ? m_upstreams.erase(entry) : std::next(entry);
-        changes.upstreams = changes.upstreams || isOver;
     }
     return changes;
 }
@@ -193,6 +249,33 @@
     return m_instances;
 }
 
+std::vector<StateChange> StateMirror::objects(StateKind kind) const
+{
+    std::vector<StateChange> objects;
+    if (kind == StateKind::Routes && m_routes) {
+        objects.push_back(
+            {.object = {.name = m_routesName, .revision = m_routesRevision, .value = m_routes->routes()}, .isDeleted = false});
+    }
+    if (kind == StateKind::Upstreams) {
+        for (const auto &[name, entry] : m_upstreams) {
+            objects.push_back({.object = {.name = name, .revision = entry.revision, .value = entry.record}, .isDeleted = false});
+        }
+    }
+    return objects;
+}
+
+std::uint64_t StateMirror::hash(StateKind kind) const
+{
+    if (kind == StateKind::Routes) {
+        return m_routes ? m_routes->version().value() : 0;
+    }
+    std::uint64_t sum = 0;
+    for (const auto &[name, entry] : m_upstreams) {
+        sum += hashOf(entry.record);
+    }
+    return sum;
+}
+
 std::optional<Revision> StateMirror::revision(StateKind kind) const
 {
     const auto known = m_revisions.find(kind);
--- a/src/edge/stateservice.h
+++ b/src/edge/stateservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/instanceregistration.h"
+#include "edge/statespread.h"
 #include "edge/storefollower.h"
 
 #include <string>
@@ -8,8 +9,7 @@
 namespace Filbertmount {
 
 /**
- * Follows all that the store keeps for this instance and enters the instance into the list of instances. Lives on the
- * IoLoop.
+ * Keeps the mirror up to date: reads the store when it falls to this instance, and tells the others. Lives on the IoLoop.
  */
 template<StoreProtocol Protocol>
 class StateService
@@ -28,32 +28,73 @@
                  Protocol protocol,
                  Options options,
                  StateMirror &mirror,
+                 StateSpread &spread,
                  Metrics &metrics,
                  const ChangeHandler &onChange)
-        : m_routes(loop, protocol, StateKind::Routes, options.calls, mirror, metrics, onChange)
-        , m_upstreams(loop, protocol, StateKind::Upstreams, options.calls, mirror, metrics, onChange)
+        : m_spread(spread)
+        , m_onChange(onChange)
+        , m_routes(loop, protocol, StateKind::Routes, options.calls, mirror, metrics, answerHandler())
+        , m_upstreams(loop, protocol, StateKind::Upstreams, options.calls, mirror, metrics, answerHandler())
         , m_instances(loop, protocol, options.instanceName, options.instance, options.calls, mirror, metrics, onChange)
+        , m_ticker(loop, DecisionInterval, [this] {
+            tick();
+        })
     {
     }
 
     void start()
     {
-        m_routes.start();
-        m_upstreams.start();
         m_instances.start();
     }
 
-    /** Reads routes and upstreams again. */
+    /** The process stood still: what it knows may be old, and the age of what it hears is not known. */
     void readAgain()
     {
+        m_spread.forgetConfirmations();
         m_routes.start();
         m_upstreams.start();
     }
 
 private:
+    static constexpr Duration DecisionInterval = std::chrono::milliseconds(40);
+
+    typename StoreFollower<Protocol>::AnswerHandler answerHandler()
+    {
+        return [this](StateKind kind, std::optional<Revision> before, const MirrorChanges &changes) {
+            m_onChange(changes);
+            m_spread.noteStoreAnswer(kind, before, changes, ProcessClock::now());
+        };
+    }
+
+    void tick()
+    {
+        const Instant now = ProcessClock::now();
+        m_spread.tick(now);
+        follow(m_routes, m_spread.shouldRead(StateKind::Routes, now), StateKind::Routes);
+        follow(m_upstreams, m_spread.shouldRead(StateKind::Upstreams, now), StateKind::Upstreams);
+    }
+
+    void follow(StoreFollower<Protocol> &follower, bool shouldRead, StateKind kind)
+    {
+        if (follower.isRunning() == shouldRead) {
+            return;
+        }
+        logLine(LogLevel::Info,
+                shouldRead ? "this instance reads the store" : "another instance reads the store",
+                {{.name = "kind", .value = std::string(stateKindName(kind))}});
+        if (shouldRead) {
+            follower.start();
+        } else {
+            follower.stop();
+        }
+    }
+
+    StateSpread &m_spread;
+    ChangeHandler m_onChange;
     StoreFollower<Protocol> m_routes;
     StoreFollower<Protocol> m_upstreams;
     InstanceRegistration<Protocol> m_instances;
+    PeriodicTask m_ticker;
 };
 
 } // namespace Filbertmount
--- /dev/null
+++ b/src/edge/statespread.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "edge/fleet.h"
+
+#include <filbertmount/edge/readerelection.h>
+#include <filbertmount/edge/statemirror.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Filbertmount {
+
+/**
+ * Spreads routes and upstreams between instances, so that few of them read the store. Lives on the IoLoop.
+ *
+ * An instance that got an answer of the store tells all others what changed, and a digest of what it knows. One that
+ * misses something asks the sender for all of it. An instance that knows nothing yet asks any other.
+ */
+class StateSpread
+{
+public:
+    using ChangeHandler = std::function<void(const MirrorChanges &)>;
+
+    StateSpread(StateMirror &mirror, Fleet &fleet, ChangeHandler onChange);
+
+    /** The store answered; @p before is the revision that was known until then. */
+    void noteStoreAnswer(StateKind kind, std::optional<Revision> before, const MirrorChanges &changes, Instant now);
+    /** Tells the others of changes that came without an answer of the store, such as the end of a grace. */
+    void tellChanges(const MirrorChanges &changes, Instant now);
+    /** Whether this instance should read @p kind from the store now. */
+    bool shouldRead(StateKind kind, Instant now);
+    /** The process stood still: the age of what was heard is not known. */
+    void forgetConfirmations();
+    /** Repeats digests and asks again; call every 50 ms or so. */
+    void tick(Instant now);
+
+private:
+    struct KindState {
+        ReaderElection election;
+        /** Last time the store answered this instance. */
+        std::optional<Instant> confirmed;
+        /** When the digest is sent once more, in case it was lost. */
+        std::optional<Instant> repeatAt;
+        Instant lastPull{};
+        /** Parts of a set of objects that is being received. */
+        InstanceId partsFrom;
+        std::uint64_t partsRevision = 0;
+        std::map<std::uint32_t, std::vector<StateObject>> parts;
+    };
+
+    void setHandlers();
+    void sendChanges(StateKind kind, Revision base, const std::vector<StateChange> &changes, Instant now);
+    void sendDigest(StateKind kind, Instant now);
+    void sendAll(StateKind kind, const InstanceId &to);
+    void pull(StateKind kind, const InstanceId &from, Instant now);
+    void pullFromAny(Instant now);
+    void onDigest(const InstanceId &from, const Wire::StateDigest &digest);
+    void onPull(const InstanceId &from, const Wire::StatePull &pull);
+    void onPush(const InstanceId &from, const Wire::StatePush &push);
+    void takePart(const InstanceId &from, StateKind kind, const Wire::StatePush &push, std::vector<StateObject> objects);
+    [[nodiscard]] Wire::Body digestBody(StateKind kind, Instant now) const;
+    void followMembers();
+
+    StateMirror &m_mirror;
+    Fleet &m_fleet;
+    ChangeHandler m_onChange;
+    std::map<StateKind, KindState> m_kinds;
+    std::uint64_t m_memberVersion = 0;
+    std::size_t m_nextAsked = 0;
+};
+
+} // namespace Filbertmount
--- a/src/edge/storecalls.h
+++ b/src/edge/storecalls.h
@@ -13,11 +13,15 @@
 
 struct StoreCallOptions {
     Tcp::endpoint store;
-    /** Longest wait of a watch; a path that went silent is noticed earlier by the socket's idle check. */
-    Duration watchWait = std::chrono::seconds(25);
-    Duration callTimeout = std::chrono::milliseconds(1500);
+    /**
+     * Longest wait of a watch. Its end confirms that nothing has changed, so the age of what the readers tell the others
+     * is bounded by it.
+     */
+    Duration watchWait = std::chrono::milliseconds(700);
+    /** Time for an answer beyond the wait. */
+    Duration callTimeout = std::chrono::milliseconds(300);
     Duration firstRetry = std::chrono::milliseconds(50);
-    Duration longestRetry = std::chrono::milliseconds(500);
+    Duration longestRetry = std::chrono::milliseconds(400);
 };
 
 /** How a call of the store ended. */
--- a/src/edge/storefollower.h
+++ b/src/edge/storefollower.h
@@ -19,7 +19,8 @@
 class StoreFollower
 {
 public:
-    using ChangeHandler = std::function<void(const MirrorChanges &)>;
+    /** Gets each answer of the store: the revision that was known before, and what changed. */
+    using AnswerHandler = std::function<void(StateKind, std::optional<Revision> before, const MirrorChanges &)>;
 
     StoreFollower(IoLoop &loop,
                   Protocol protocol,
@@ -27,13 +28,13 @@
                   StoreCallOptions options,
                   StateMirror &mirror,
                   Metrics &metrics,
-                  ChangeHandler onChange)
+                  AnswerHandler onAnswer)
         : m_protocol(std::move(protocol))
         , m_kind(kind)
         , m_options(std::move(options))
         , m_calls(loop, m_options.store, metrics, kind)
         , m_mirror(mirror)
-        , m_onChange(std::move(onChange))
+        , m_onAnswer(std::move(onAnswer))
         , m_timer(loop)
         , m_retry(m_options.firstRetry)
     {
@@ -42,9 +43,22 @@
     /** Drops a call in progress and begins with a listing. */
     void start()
     {
+        stop();
+        m_isRunning = true;
+        list();
+    }
+
+    /** Drops a call in progress and makes no further one. */
+    void stop()
+    {
+        m_isRunning = false;
         m_calls.cancel();
         m_timer.cancel();
-        list();
+    }
+
+    [[nodiscard]] bool isRunning() const
+    {
+        return m_isRunning;
     }
 
 private:
@@ -82,7 +96,8 @@
             listPage(*page.nextAfter);
             return;
         }
-        m_onChange(m_mirror.takeListing(m_kind, std::exchange(m_listed, {}), m_listedAt, ProcessClock::now()));
+        const std::optional<Revision> before = m_mirror.revision(m_kind);
+        m_onAnswer(m_kind, before, m_mirror.takeListing(m_kind, std::exchange(m_listed, {}), m_listedAt, ProcessClock::now()));
         watch();
     }
 
@@ -119,7 +134,8 @@
             return;
         }
         noteAnswer();
-        m_onChange(m_mirror.takeChanges(m_kind, std::get<StateChanges>(result), ProcessClock::now()));
+        const std::optional<Revision> before = m_mirror.revision(m_kind);
+        m_onAnswer(m_kind, before, m_mirror.takeChanges(m_kind, std::get<StateChanges>(result), ProcessClock::now()));
         watch();
     }
 
@@ -150,7 +166,7 @@
         // A watch that was cut may have missed changes, and one from the same revision may go on waiting although the
         // history that it needs is gone. Only a listing tells what holds now.
         m_timer.async_wait([this](const error_code &cancelled) {
-            if (!cancelled) {
+            if (!cancelled && m_isRunning) {
                 list();
             }
         });
@@ -161,12 +177,13 @@
     StoreCallOptions m_options;
     StoreCalls m_calls;
     StateMirror &m_mirror;
-    ChangeHandler m_onChange;
+    AnswerHandler m_onAnswer;
     Asio::steady_timer m_timer;
     Duration m_retry;
     std::vector<StateObject> m_listed;
     Revision m_listedAt;
     bool m_hasFailed = false;
+    bool m_isRunning = false;
 };
 
 } // namespace Filbertmount
--- a/src/routing/slotclient.cpp
+++ b/src/routing/slotclient.cpp
@@ -191,6 +191,11 @@
                                                  .report = {.outcome = AttemptOutcome::Unused}}});
         return;
     }
+    if (!m_table.isListed(grant.upstream) || m_table.state(grant.upstream) != UpstreamState::Live) {
+        // The dispatcher has not heard yet that the upstream leaves; it must get nothing new all the same.
+        handleUnknownUpstream(from, grant, now, outbox, decisions);
+        return;
+    }
     noteAnswer(pending->second, now);
     m_pending.erase(pending);
     ++m_grants;
