--- /dev/null
+++ b/tests/edge/edgesettingstest.cpp
@@ -0,0 +1,86 @@
+#include <filbertmount/edge/edgesettings.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <doctest/doctest.h>
+
+using namespace Filbertmount;
+
+namespace {
+
+const std::string Valid = R"([instance]
+name = "edge-1"
+zone = "riga-a"
+region = "lv-riga"
+ip = "10.0.0.1"
+[listen]
+callers = "10.0.0.1:8080"
+readiness = "10.0.0.1:8081"
+peer_port = 7000
+metrics_port = 7001
+[store]
+address = "10.0.0.9:90"
+[fleet]
+seeds = ["10.0.0.1:8146", "10.0.0.2:8146"]
+[shutdown]
+grace_s = 6
+[retries]
+share = 0.2
+extra = 58
+window_s = 10
+[limits]
+descriptors = 4100
+)";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+std::string errorOf(const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<std::string> {
+            BOOST_LEAF_CHECK(parseEdgeSettings(text, "node.toml"));
+            return std::string();
+        },
+        [](const Failure &failure) {
+            return describe(failure);
+        },
+        [] {
+            return std::string("unknown");
+        });
+}
+
+} // namespace
+
+TEST_CASE("edge settings: valid settings are read")
+{
+    const EdgeSettings settings = parseEdgeSettings(Valid, "node.toml").value();
+    CHECK(settings.zone == AvailabilityZone("riga-a"));
+    CHECK(settings.callers.port == 8080);
+    CHECK(settings.seeds == std::vector<std::string>{"10.0.0.1", "10.0.0.2"});
+    CHECK(settings.shutdownGrace == std::chrono::seconds(6));
+    CHECK(settings.retries.extra == 58);
+}
+
+TEST_CASE("edge settings: an error names the key and what was expected")
+{
+    struct Row {
+        const char *from;
+        const char *to;
+        const char *key;
+    };
+    for (const Row &row : {Row{"name = \"edge-1\"\n", "", "instance.name"},
+                           Row{"\"10.0.0.1:8080\"", "\"shop.example:8080\"", "listen.callers"},
+                           Row{"peer_port = 7000\n", "", "listen.peer_port"},
+                           Row{"metrics_port = 7001", "metrics_port = 0", "listen.metrics_port"},
+                           Row{"\"10.0.0.9:90\"", "\"\"", "store.address"},
+                           Row{"grace_s = 6", "grace_s = \"6\"", "shutdown.grace_s"},
+                           Row{"share = 0.2\n", "", "retries.share"},
+                           Row{"[limits]\n", "[limits]\nfoo = 1\n", "limits.foo"},
+                           Row{"[store]\naddress = \"10.0.0.9:90\"\n", "", "store"}}) {
+        CAPTURE(row.key);
+        const std::string error = errorOf(replaced(Valid, row.from, row.to));
+        CHECK(error.find(row.key) != std::string::npos);
+    }
+}
--- /dev/null
+++ b/tests/edge/readerelectiontest.cpp
@@ -0,0 +1,152 @@
+#include <filbertmount/edge/readerelection.h>
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <random>
+#include <set>
+#include <utility>
+
+using namespace Filbertmount;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant Start{Duration(100s)};
+constexpr Duration Step = std::chrono::milliseconds(20);
+constexpr Duration AnswerInterval = std::chrono::milliseconds(700);
+// 1.6 s in steps of 40 ms.
+constexpr int PartsToCatchUp = 40;
+
+/** Instances with their elections; readers that the store serves tell all others that they reach. */
+class Group
+{
+public:
+    explicit Group(std::size_t size)
+        : m_lastAnswer(size, Instant{})
+    {
+        for (std::size_t index = 0; index < size; ++index) {
+            m_ids.emplace_back("i" + std::to_string(index));
+        }
+        for (const InstanceId &id : m_ids) {
+            m_elections.push_back(std::make_unique<ReaderElection>(StateKind::Upstreams, id, Start));
+            m_elections.back()->setMembers(m_ids);
+        }
+    }
+
+    void run(Duration duration)
+    {
+        for (const Instant end = m_now + duration; m_now < end; m_now += Step) {
+            for (std::size_t index = 0; index < m_ids.size(); ++index) {
+                step(index);
+            }
+        }
+    }
+
+    [[nodiscard]] std::set<std::size_t> readers() const
+    {
+        std::set<std::size_t> result;
+        for (std::size_t index = 0; index < m_ids.size(); ++index) {
+            if (!dead.contains(index) && m_elections[index]->isReading()) {
+                result.insert(index);
+            }
+        }
+        return result;
+    }
+
+    [[nodiscard]] Duration age(std::size_t index) const
+    {
+        return m_now - m_elections[index]->lastConfirmed().value_or(Start);
+    }
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_ids.size();
+    }
+
+    std::set<std::size_t> dead;
+    /** The store gives these no answer. */
+    std::set<std::size_t> refused;
+
+private:
+    void step(std::size_t index)
+    {
+        if (dead.contains(index) || !m_elections[index]->decide(m_now)) {
+            return;
+        }
+        const bool isAnswered = !refused.contains(index) && m_now - m_lastAnswer[index] >= AnswerInterval;
+        if (!isAnswered) {
+            return;
+        }
+        m_lastAnswer[index] = m_now;
+        for (std::size_t other = 0; other < m_ids.size(); ++other) {
+            if (!dead.contains(other)) {
+                m_elections[other]->noteConfirmed(m_ids[index], m_now);
+            }
+        }
+    }
+
+    Instant m_now = Start;
+    std::vector<InstanceId> m_ids;
+    std::vector<std::unique_ptr<ReaderElection>> m_elections;
+    std::vector<Instant> m_lastAnswer;
+};
+
+} // namespace
+
+TEST_CASE("reader election: one of many instances reads in a calm time")
+{
+    for (const std::size_t size : {1U, 2U, 14U, 144U}) {
+        CAPTURE(size);
+        Group group(size);
+        group.run(6s);
+        CHECK(group.readers().size() == 1);
+        for (std::size_t index = 0; index < size; ++index) {
+            CHECK(group.age(index) < 1s);
+        }
+    }
+}
+
+// The bound for leaving upstreams is two seconds from the store's acknowledgement.
+TEST_CASE("reader election: whoever dies or is refused by the store, news are never older than 1.6 s")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        Group group(14);
+        group.run(4s);
+        for (int round = 0; round < 6; ++round) {
+            std::bernoulli_distribution isHit(0.33);
+            // A process that was stopped must catch up first, as one that has just started.
+            const std::set<std::size_t> returned = std::exchange(group.dead, {});
+            group.refused.clear();
+            for (std::size_t index = 0; index < group.size(); ++index) {
+                if (isHit(random)) {
+                    (random() % 2 == 0 ? group.dead : group.refused).insert(index);
+                }
+            }
+            if (group.dead.size() + group.refused.size() == group.size()) {
+                group.refused.erase(*group.refused.begin());
+            }
+            for (int part = 0; part < 100; ++part) {
+                group.run(40ms);
+                for (std::size_t index = 0; index < group.size(); ++index) {
+                    const bool hasCaughtUp = !returned.contains(index) || part >= PartsToCatchUp;
+                    if (!group.dead.contains(index) && hasCaughtUp) {
+                        REQUIRE(group.age(index) <= 1600ms);
+                    }
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("reader election: after a pause, an instance does not trust what it heard before")
+{
+    ReaderElection election(StateKind::Routes, InstanceId("b"), Start);
+    election.setMembers({InstanceId("a"), InstanceId("b")});
+    election.noteConfirmed(InstanceId("a"), Start + 5s);
+    election.noteConfirmed(InstanceId("b"), Start + 5s);
+    election.forgetConfirmations();
+    CHECK(election.decide(Start + 5200ms));
+}
--- /dev/null
+++ b/tests/edge/statemirrortest.cpp
@@ -0,0 +1,129 @@
+#include <filbertmount/edge/statemirror.h>
+
+#include <doctest/doctest.h>
+
+using namespace Filbertmount;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant Start{Duration(100s)};
+
+StateObject upstream(const std::string &id, std::uint64_t revision, bool isDraining = false, std::uint64_t born = 1)
+{
+    return {.name = id,
+            .revision = Revision(revision),
+            .value = UpstreamRecord{.id = UpstreamId(id),
+                                    .service = ServiceName("s"),
+                                    .address = "10.0.0.1:80",
+                                    .isDraining = isDraining,
+                                    .incarnation = Incarnation(born)}};
+}
+
+StateObject routes(std::uint64_t version, std::uint64_t revision)
+{
+    return {.name = "main", .revision = Revision(revision), .value = RouteSet{.version = RouteSetVersion(version)}};
+}
+
+StateChanges removal(const std::string &id, std::uint64_t revision)
+{
+    return {.changes = {{.object = {.name = id, .revision = Revision(revision), .value = MalformedObject()}, .isDeleted = true}},
+            .storeRevision = Revision(revision)};
+}
+
+std::size_t count(const StateMirror &mirror)
+{
+    return mirror.upstreams().size();
+}
+
+} // namespace
+
+TEST_CASE("mirror: routes never go back to an older version")
+{
+    StateMirror mirror;
+    mirror.takeListing(StateKind::Routes, {routes(7, 20)}, Revision(20), Start);
+    CHECK(mirror.takeListing(StateKind::Routes, {routes(5, 21)}, Revision(21), Start).routes.empty());
+    CHECK(mirror.routes()->version() == RouteSetVersion(7));
+    CHECK(mirror.takeListing(StateKind::Routes, {routes(9, 18)}, Revision(18), Start).routes.empty());
+    mirror.takeChanges(StateKind::Routes, {.changes = {{.object = routes(9, 30)}}, .storeRevision = Revision(30)}, Start);
+    CHECK(mirror.routes()->version() == RouteSetVersion(9));
+}
+
+TEST_CASE("mirror: a malformed object is rejected with its reason and what was known stays")
+{
+    StateMirror mirror;
+    mirror.takeListing(StateKind::Upstreams, {upstream("u1", 5)}, Revision(5), Start);
+    const StateObject broken{.name = "u1", .revision = Revision(6), .value = MalformedObject{"state is missing"}};
+    const MirrorChanges changes =
+        mirror.takeChanges(StateKind::Upstreams, {.changes = {{.object = broken}}, .storeRevision = Revision(6)}, Start);
+    REQUIRE(changes.rejected.size() == 1);
+    CHECK(changes.rejected[0].second == "state is missing");
+    CHECK(count(mirror) == 1);
+}
+
+TEST_CASE("mirror: a listing that is older than what is known changes nothing")
+{
+    StateMirror mirror;
+    mirror.takeListing(StateKind::Upstreams, {upstream("u1", 5), upstream("u2", 9)}, Revision(9), Start);
+    CHECK(mirror.takeListing(StateKind::Upstreams, {upstream("u1", 5)}, Revision(8), Start).upstreams.empty());
+    CHECK(count(mirror) == 2);
+}
+
+TEST_CASE("mirror: entries that lapse while the store is away are kept until two seconds after its return")
+{
+    StateMirror mirror;
+    mirror.takeListing(StateKind::Upstreams, {upstream("u1", 5), upstream("u2", 6, true), upstream("u3", 7)}, Revision(7), Start);
+    mirror.noteContact(false, Start + 1s);
+    mirror.noteContact(false, Start + 3s);
+    mirror.noteContact(true, Start + 4s);
+    mirror.takeListing(StateKind::Upstreams, {}, Revision(20), Start + 4s);
+    CHECK(count(mirror) == 2); // the draining one is gone for good
+    mirror.takeChanges(StateKind::Upstreams, {.changes = {{.object = upstream("u3", 21)}}, .storeRevision = Revision(21)}, Start + 5s);
+    mirror.tick(Start + 5900ms);
+    CHECK(count(mirror) == 2);
+    const MirrorChanges changes = mirror.tick(Start + 6200ms);
+    REQUIRE(changes.upstreams.size() == 1);
+    CHECK(changes.upstreams[0].object.name == "u1");
+    REQUIRE(count(mirror) == 1);
+    CHECK(mirror.upstreams()[0].id == UpstreamId("u3"));
+}
+
+TEST_CASE("mirror: without an outage a removed entry is gone at once")
+{
+    StateMirror mirror;
+    mirror.takeListing(StateKind::Upstreams, {upstream("u1", 5)}, Revision(5), Start);
+    mirror.noteContact(true, Start + 1s);
+    mirror.takeChanges(StateKind::Upstreams, removal("u1", 6), Start + 1s);
+    CHECK(count(mirror) == 0);
+}
+
+TEST_CASE("mirror: an instance refused by the store drops at once what another instance reports as gone")
+{
+    StateMirror mirror;
+    mirror.takeListing(StateKind::Upstreams, {upstream("u1", 5)}, Revision(5), Start);
+    mirror.noteContact(false, Start + 1s);
+    mirror.noteContact(false, Start + 3s);
+    mirror.takeChanges(StateKind::Upstreams, removal("u1", 6), Start + 3s, StateSource::Instance);
+    CHECK(count(mirror) == 0);
+}
+
+TEST_CASE("mirror: the same id with another start is a change, a counted-down time is none")
+{
+    StateMirror mirror;
+    mirror.takeListing(StateKind::Upstreams, {upstream("u1", 5)}, Revision(5), Start);
+    StateObject warmer = upstream("u1", 6);
+    std::get<UpstreamRecord>(warmer.value).warmupLeft = 1s;
+    CHECK(mirror.takeListing(StateKind::Upstreams, {warmer}, Revision(6), Start).upstreams.empty());
+    CHECK(mirror.takeListing(StateKind::Upstreams, {upstream("u1", 7, false, 2)}, Revision(7), Start).upstreams.size() == 1);
+}
+
+TEST_CASE("mirror: equal objects have equal hashes, whatever the order of arrival")
+{
+    StateMirror first;
+    StateMirror second;
+    first.takeListing(StateKind::Upstreams, {upstream("u1", 5), upstream("u2", 6)}, Revision(6), Start);
+    second.takeListing(StateKind::Upstreams, {upstream("u2", 6)}, Revision(6), Start);
+    CHECK(first.hash(StateKind::Upstreams) != second.hash(StateKind::Upstreams));
+    second.takeChanges(StateKind::Upstreams, {.changes = {{.object = upstream("u1", 8)}}, .storeRevision = Revision(8)}, Start);
+    CHECK(first.hash(StateKind::Upstreams) == second.hash(StateKind::Upstreams));
+}
--- /dev/null
+++ b/tests/platform/storeprotocoltest.cpp
@@ -0,0 +1,167 @@
+#include "httpnames.h"
+#include "storeprotocol.h"
+
+#include <doctest/doctest.h>
+
+using namespace Filbertmount;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Platform::StoreProtocol Protocol;
+
+std::string entry(const std::string &spec, const std::string &status)
+{
+    return R"({"metadata":{"name":"i-1","revision":7,"create_revision":2,"finalizers":[],"deleting":false},"spec":)" + spec
+        + R"(,"status":)" + status + "}";
+}
+
+const std::string GoodSpec =
+    R"({"address":"10.0.0.9:8080","born":1700,"info":{"service":"s","version":"v1","zone":"a","capacity_slots":2}})";
+const std::string GoodStatus = R"({"state":"ready","sequence":4,"warmup_left_s":1.5})";
+
+StatePage page(StateKind kind, const std::string &item)
+{
+    const auto result =
+        Protocol.readPage(kind, 200, R"({"items":[)" + item + R"(],"has_more":false,"store_revision":530,"new_field":1})");
+    REQUIRE(std::holds_alternative<StatePage>(result));
+    return std::get<StatePage>(result);
+}
+
+template<class T>
+StoreProblem problemOf(const StoreResult<T> &result)
+{
+    REQUIRE(std::holds_alternative<StoreError>(result));
+    return std::get<StoreError>(result).problem;
+}
+
+} // namespace
+
+TEST_CASE("store protocol: an upstream's entry is read into typed fields")
+{
+    const StatePage read = page(StateKind::Upstreams, entry(GoodSpec, GoodStatus));
+    CHECK(read.storeRevision == Revision(530));
+    REQUIRE(read.objects.size() == 1);
+    CHECK(read.objects[0].revision == Revision(7));
+    const auto &record = std::get<UpstreamRecord>(read.objects[0].value);
+    CHECK(record.id == UpstreamId("i-1"));
+    CHECK(record.service == ServiceName("s"));
+    CHECK(record.address == "10.0.0.9:8080");
+    CHECK(record.slots == 2);
+    CHECK_FALSE(record.isDraining);
+    CHECK(record.warmupLeft == 1500ms);
+    CHECK(record.incarnation == Incarnation(1700));
+}
+
+TEST_CASE("store protocol: an entry of another writer names no upstream and leaves the others valid")
+{
+    struct Row {
+        std::string spec;
+        std::string status;
+    };
+    const Row rows[] = {
+        {R"({"info":{"service":"s","capacity_slots":2}})", GoodStatus},
+        {R"({"address":7,"info":{"service":"s","capacity_slots":2}})", GoodStatus},
+        {R"({"address":"shop.example:80","info":{"service":"s","capacity_slots":2}})", GoodStatus},
+        {R"({"address":"10.0.0.9:8080","info":{"service":"","capacity_slots":2}})", GoodStatus},
+        {R"({"address":"10.0.0.9:8080","info":{"service":"s","capacity_slots":"2"}})", GoodStatus},
+        {R"({"address":"10.0.0.9:8080","info":{"service":"s","capacity_slots":-1}})", GoodStatus},
+        {R"({"address":"10.0.0.9:8080","info":[]})", GoodStatus},
+        {R"("text")", GoodStatus},
+        {GoodSpec, R"({"state":"resting"})"},
+        {GoodSpec, R"({"sequence":4})"},
+        {GoodSpec, "null"},
+        {GoodSpec, "[]"},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.spec);
+        CAPTURE(row.status);
+        const StatePage read = page(StateKind::Upstreams, entry(row.spec, row.status) + "," + entry(GoodSpec, GoodStatus));
+        REQUIRE(read.objects.size() == 2);
+        CHECK(std::holds_alternative<MalformedObject>(read.objects[0].value));
+        CHECK(std::holds_alternative<UpstreamRecord>(read.objects[1].value));
+    }
+}
+
+TEST_CASE("store protocol: the route set is read from its table")
+{
+    const std::string spec =
+        R"({"version":"0000000c","routes":{"columns":["name","host","path_prefix","kind","timeout_s","target_latency_s","priority","traffic_split","max_attempts","service"],"rows":[["r1","Shop.Example","/a/","safe",0.5,0.2,2,[{"service":"x","weight":90},{"service":"y","weight":10}],2,null],["r2","shop.example","/b/","unsafe",0.6,0.25,1,null,1,"x"]]},"services":{"columns":["name","health_check_path","max_connections","protocol","tls"],"rows":[["x","/health",220,"h1",false]]},"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15}})";
+    const StatePage read =
+        page(StateKind::Routes, R"({"metadata":{"name":"main","revision":9},"spec":)" + spec + R"(,"status":null})");
+    REQUIRE(read.objects.size() == 1);
+    const auto &routes = std::get<RouteSet>(read.objects[0].value);
+    CHECK(routes.version == RouteSetVersion(12));
+    REQUIRE(routes.routes.size() == 2);
+    CHECK(routes.routes[0].host == "shop.example");
+    CHECK(routes.routes[0].isRepeatable);
+    CHECK(routes.routes[0].targets.size() == 2);
+    CHECK(routes.routes[0].timeout == 500ms);
+    CHECK_FALSE(routes.routes[1].isRepeatable);
+    CHECK(routes.routes[1].targets[0].service == ServiceName("x"));
+    CHECK(routes.services[0].healthPath == "/health");
+    CHECK(routes.limits.idleTimeout == 15s);
+}
+
+TEST_CASE("store protocol: each failure has its own meaning")
+{
+    struct Row {
+        int status;
+        const char *body;
+        StoreProblem expected;
+    };
+    for (const Row &row : {Row{503, "", StoreProblem::Unavailable},
+                           Row{500, "", StoreProblem::Unavailable},
+                           Row{429, "{}", StoreProblem::RateLimited},
+                           Row{410, "{}", StoreProblem::HistoryGone},
+                           Row{409, "{}", StoreProblem::Conflict},
+                           Row{200, "", StoreProblem::Malformed},
+                           Row{200, "{\"items\":", StoreProblem::Malformed},
+                           Row{200, "[]", StoreProblem::Malformed},
+                           Row{200, R"({"items":[],"events":[],"has_more":true,"store_revision":"x"})", StoreProblem::Malformed}}) {
+        CAPTURE(row.status);
+        CAPTURE(row.body);
+        CHECK(problemOf(Protocol.readPage(StateKind::Upstreams, row.status, row.body)) == row.expected);
+        CHECK(problemOf(Protocol.readChanges(StateKind::Upstreams, row.status, row.body)) == row.expected);
+    }
+    CHECK(problemOf(Protocol.readPage(StateKind::Upstreams, 200, R"({"items":[],"has_more":true,"store_revision":5})"))
+          == StoreProblem::Malformed);
+}
+
+TEST_CASE("store protocol: a page that is not the last says where the next one starts")
+{
+    const auto result = Protocol.readPage(
+        StateKind::Upstreams, 200, R"({"items":[)" + entry(GoodSpec, GoodStatus) + R"(],"has_more":true,"store_revision":5})");
+    REQUIRE(std::holds_alternative<StatePage>(result));
+    CHECK(std::get<StatePage>(result).nextAfter == "i-1");
+}
+
+TEST_CASE("store protocol: calls are written as the platform expects them")
+{
+    CHECK(Protocol.listRequest(StateKind::Upstreams, "", false).target == "/api/objects/servers");
+    CHECK(Protocol.listRequest(StateKind::Upstreams, "i-1", true).target == "/api/objects/servers?after=i-1&stale_ok=1");
+    CHECK(Protocol.watchRequest(StateKind::Routes, Revision(530), 700ms).target == "/api/objects/config?watch=530&wait_ms=700");
+}
+
+TEST_CASE("load header: running, waiting, slots and the pace in percent")
+{
+    struct Row {
+        const char *text;
+        bool isRead;
+        double pace;
+    };
+    for (const Row &row : {Row{"3,0,8,250", true, 2.5},
+                           Row{"3,0,8", true, 0},
+                           Row{"3,0", false, 0},
+                           Row{"", false, 0},
+                           Row{"a,b,c", false, 0},
+                           Row{"3,-1,8,100", false, 0},
+                           Row{"3,0,8,0", true, 0}}) {
+        CAPTURE(row.text);
+        const std::optional<UpstreamLoad> load = Platform::parseLoad(row.text);
+        CHECK(load.has_value() == row.isRead);
+        if (load) {
+            CHECK(load->pace.value_or(0) == row.pace);
+        }
+    }
+}
