--- /dev/null
+++ b/tests/edge/clientconnectiontest.cpp
@@ -0,0 +1,162 @@
+#include "edge/clientconnection.h"
+
+#include "support/loopserver.h"
+
+#include <doctest/doctest.h>
+
+using namespace Filbertmount;
+using namespace Filbertmount::TestSupport;
+using namespace std::chrono_literals;
+
+namespace {
+
+ExchangeOptions request(const std::string &id)
+{
+    return {.request = "GET /a/1 HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n",
+            .timeout = 400ms,
+            .isOurs = [id](const Headers &headers) {
+                const std::string *answered = findHeader(headers, "Id");
+                return answered != nullptr && *answered == id;
+            }};
+}
+
+std::string answer(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/** What one connection makes of a server that sends @p text and then acts on the connection. */
+struct Outcome {
+    ExchangeResult result;
+    bool isReusable = false;
+};
+
+Outcome exchangeWith(const std::string &text, const std::function<void(ScriptedPeer &)> &then = {})
+{
+    IoLoop loop;
+    ScriptedServer server(loop, [&](ScriptedPeer &peer) {
+        peer.send(text);
+        if (then) {
+            then(peer);
+        }
+    });
+    auto connection = std::make_shared<ClientConnection>(loop, server.endpoint());
+    std::optional<ExchangeResult> result;
+    connection->exchange(request("1"), [&](ExchangeResult ended) {
+        result = std::move(ended);
+    });
+    REQUIRE(runUntil(loop, [&] {
+        return result.has_value();
+    }));
+    const Outcome outcome{.result = std::move(*result), .isReusable = connection->isReusable()};
+    connection->close();
+    return outcome;
+}
+
+const auto Close = [](ScriptedPeer &peer) {
+    peer.close();
+};
+const auto Reset = [](ScriptedPeer &peer) {
+    peer.reset();
+};
+
+} // namespace
+
+TEST_CASE("client connection: only a whole answer to the own request is taken")
+{
+    struct Row {
+        const char *name;
+        std::string text;
+        std::function<void(ScriptedPeer &)> then;
+        ExchangeEnd end;
+        std::string body;
+        bool isReusable;
+    };
+    const Row rows[] = {
+        {"whole", answer("1", "body"), {}, ExchangeEnd::Answered, "body", true},
+        {"cut short", answer("1", "body").substr(0, 40), Close, ExchangeEnd::Broken, "", false},
+        {"no length, ended in order", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody", Close, ExchangeEnd::Answered, "body", false},
+        {"no length, reset", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody", Reset, ExchangeEnd::Broken, "", false},
+        {"chunks",
+         "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+         {},
+         ExchangeEnd::Answered,
+         "body",
+         true},
+        {"chunks without end",
+         "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+         Close,
+         ExchangeEnd::Broken,
+         "",
+         false},
+        {"garbage", "\x01\x02nonsense\r\n\r\n", {}, ExchangeEnd::Malformed, "", false},
+        {"two lengths",
+         "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbodyx",
+         {},
+         ExchangeEnd::Malformed,
+         "",
+         false},
+        {"late answer of another request first",
+         answer("0", "old") + answer("1", "body"),
+         {},
+         ExchangeEnd::Answered,
+         "body",
+         false},
+        {"only an answer of another request", answer("0", "old"), Close, ExchangeEnd::Broken, "", false},
+        {"a second answer behind", answer("1", "body") + answer("1", "again"), {}, ExchangeEnd::Answered, "body", false},
+        {"interim answer first", "HTTP/1.1 100 Continue\r\n\r\n" + answer("1", "body"), {}, ExchangeEnd::Answered, "body", true},
+        {"asks to close",
+         "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody",
+         {},
+         ExchangeEnd::Answered,
+         "body",
+         false},
+        {"silence", "", {}, ExchangeEnd::TimedOut, "", false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        const Outcome outcome = exchangeWith(row.text, row.then);
+        CHECK(outcome.result.end == row.end);
+        CHECK(outcome.result.answer.body == row.body);
+        CHECK(outcome.isReusable == row.isReusable);
+    }
+}
+
+TEST_CASE("client connection: a port that nobody listens on is reported as not sent")
+{
+    IoLoop loop;
+    Tcp::endpoint closed;
+    {
+        const Tcp::acceptor acceptor(loop, Tcp::endpoint(Asio::ip::address_v4::loopback(), 0));
+        closed = acceptor.local_endpoint();
+    }
+    std::optional<ExchangeResult> result;
+    std::make_shared<ClientConnection>(loop, closed)->exchange(request("1"), [&](ExchangeResult ended) {
+        result = std::move(ended);
+    });
+    REQUIRE(runUntil(loop, [&] {
+        return result.has_value();
+    }));
+    CHECK(result->end == ExchangeEnd::ConnectFailed);
+}
+
+TEST_CASE("client connection: bytes that arrive between two requests end the connection")
+{
+    IoLoop loop;
+    ScriptedServer server(loop, [](ScriptedPeer &peer) {
+        peer.send(answer("1", "body"));
+    });
+    auto connection = std::make_shared<ClientConnection>(loop, server.endpoint());
+    bool isAnswered = false;
+    connection->exchange(request("1"), [&](const ExchangeResult &) {
+        isAnswered = true;
+    });
+    REQUIRE(runUntil(loop, [&] {
+        return isAnswered;
+    }));
+    CHECK(connection->isReusable());
+    server.peers.at(0)->send("HTTP/1.1 200 OK\r\n");
+    CHECK(runUntil(loop, [&] {
+        return !connection->isReusable();
+    }));
+}
--- a/tests/edge/statemirrortest.cpp
+++ b/tests/edge/statemirrortest.cpp
@@ -78,7 +78,8 @@
     mirror.noteContact(true, Start + 4s);
     mirror.takeListing(StateKind::Upstreams, {}, Revision(20), Start + 4s);
     CHECK(count(mirror) == 2); // the draining one is gone for good
-    mirror.takeChanges(StateKind::Upstreams, {.changes = {{.object = upstream("u3", 21)}}, .storeRevision = Revision(21)}, Start + 5s);
+    mirror.takeChanges(
+        StateKind::Upstreams, {.changes = {{.object = upstream("u3", 21)}}, .storeRevision = Revision(21)}, Start + 5s);
     mirror.tick(Start + 5900ms);
     CHECK(count(mirror) == 2);
     const MirrorChanges changes = mirror.tick(Start + 6200ms);
--- a/tests/platform/storeprotocoltest.cpp
+++ b/tests/platform/storeprotocoltest.cpp
@@ -1,5 +1,5 @@
-#include "httpnames.h"
 #include "storeprotocol.h"
+#include "httpnames.h"
 
 #include <doctest/doctest.h>
 
@@ -110,15 +110,16 @@
         const char *body;
         StoreProblem expected;
     };
-    for (const Row &row : {Row{503, "", StoreProblem::Unavailable},
-                           Row{500, "", StoreProblem::Unavailable},
-                           Row{429, "{}", StoreProblem::RateLimited},
-                           Row{410, "{}", StoreProblem::HistoryGone},
-                           Row{409, "{}", StoreProblem::Conflict},
-                           Row{200, "", StoreProblem::Malformed},
-                           Row{200, "{\"items\":", StoreProblem::Malformed},
-                           Row{200, "[]", StoreProblem::Malformed},
-                           Row{200, R"({"items":[],"events":[],"has_more":true,"store_revision":"x"})", StoreProblem::Malformed}}) {
+    for (const Row &row :
+         {Row{503, "", StoreProblem::Unavailable},
+          Row{500, "", StoreProblem::Unavailable},
+          Row{429, "{}", StoreProblem::RateLimited},
+          Row{410, "{}", StoreProblem::HistoryGone},
+          Row{409, "{}", StoreProblem::Conflict},
+          Row{200, "", StoreProblem::Malformed},
+          Row{200, "{\"items\":", StoreProblem::Malformed},
+          Row{200, "[]", StoreProblem::Malformed},
+          Row{200, R"({"items":[],"events":[],"has_more":true,"store_revision":"x"})", StoreProblem::Malformed}}) {
         CAPTURE(row.status);
         CAPTURE(row.body);
         CHECK(problemOf(Protocol.readPage(StateKind::Upstreams, row.status, row.body)) == row.expected);
