Do not lower limits for refusals of idle upstreams; weigh failures; hold requests until routes are known

Each refusal lowered the limit by 0.7, so four slots became one, requests waited 670 ms in the queue and 516 were refused as too late. After kill_all, 131 requests were refused before the routes were known (0.4 to 0.7 s), and again when the callers came back. Ruled out: the retry budget alone, which would have served 71 retries of 250.

--- a/include/filbertmount/document/servicedocument.h
+++ b/include/filbertmount/document/servicedocument.h
@@ -61,6 +61,8 @@
     int attempts = 3;
     /** Retries that may follow each other at once after a quiet time, per entry instance. */
     double largestBurst = 20;
+    /** Retries that come with time alone, per entry instance and second. */
+    double perSecond = 0;
 };
 
 struct HedgingSettings {
--- a/include/filbertmount/edge/attemptverdict.h
+++ b/include/filbertmount/edge/attemptverdict.h
@@ -4,6 +4,7 @@
 #include <filbertmount/types/instant.h>
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace Filbertmount {
@@ -60,7 +61,7 @@
 /** What follows when a retry was wanted and there is no budget or no upstream for it. */
 NextStep nextStepWithoutRetry(AttemptEnd end, bool mayHaveRun);
 
-/** How the router counts an attempt that ended this way. */
-AttemptOutcome outcomeOf(AttemptEnd end);
+/** How the router counts an attempt that ended this way at an upstream that stated @p load in its answer. */
+AttemptOutcome outcomeOf(AttemptEnd end, const std::optional<UpstreamLoad> &load);
 
 } // namespace Filbertmount
--- a/include/filbertmount/edge/readerelection.h
+++ b/include/filbertmount/edge/readerelection.h
@@ -20,7 +20,7 @@
     /** A reader stops when one before it in the order has been fresh for this long. */
     Duration handOverAfter = std::chrono::milliseconds(2500);
     /** Time after the start until an instance begins to read: others may tell it all it needs. */
-    Duration startDelay = std::chrono::milliseconds(350);
+    Duration startDelay = std::chrono::milliseconds(80);
 };
 
 /**
--- a/include/filbertmount/routing/placement.h
+++ b/include/filbertmount/routing/placement.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace Filbertmount {
@@ -79,8 +80,13 @@
     Cancelled,
     /** The placement was not used. */
     Unused,
+    /** A refusal although the upstream stated free slots: it fails requests, and sending it fewer does not help. */
+    RefusedWithRoom,
 };
 
+/** Returns the name of @p outcome as it appears in logs, events and metrics. */
+std::string_view attemptOutcomeName(AttemptOutcome outcome);
+
 /** What an upstream says of its load in an answer. */
 struct UpstreamLoad {
     int running = 0;
--- a/include/filbertmount/routing/retrybudget.h
+++ b/include/filbertmount/routing/retrybudget.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <filbertmount/types/instant.h>
+
 namespace Filbertmount {
 
 /**
@@ -17,7 +19,9 @@
     void setPercent(double percent);
     /** Bounds the retries that may follow each other at once after a quiet time. */
     void setLargestBurst(double tokens);
-    void noteFirstAttempt();
+    /** Sets the tokens that come with time alone. */
+    void setTokensPerSecond(double tokens);
+    void noteFirstAttempt(Instant now);
     /** Takes one token; returns false when there is none. */
     bool take();
     /** Gives a token back whose attempt was not made. */
@@ -26,6 +30,8 @@
 private:
     double m_percent;
     double m_largestBurst = 20;
+    double m_tokensPerSecond = 0;
+    Instant m_lastFirst{};
     double m_tokens = 1;
 };
 
--- a/include/filbertmount/routing/upstreamtable.h
+++ b/include/filbertmount/routing/upstreamtable.h
@@ -92,6 +92,9 @@
         /** Smoothed natural logarithm of service time over the service's; 0 is average. */
         double logSlowness = 0;
         Instant lastSample{};
+        /** Smoothed share of the attempts that failed; decays while there are none. */
+        double failureShare = 0;
+        Instant failureAt{};
         std::optional<double> pace;
         Instant paceAt{};
         int failuresInRow = 0;
@@ -109,6 +112,8 @@
     void eject(UpstreamIndex index, Instant now);
     [[nodiscard]] bool mayEject() const;
     [[nodiscard]] int currentLimit(const Entry &entry, Instant now) const;
+    void recordOutcome(Entry &entry, bool hasFailed, Instant now);
+    [[nodiscard]] static double failureShareOf(const Entry &entry, Instant now);
     [[nodiscard]] double paceOf(const Entry &entry, Instant now) const;
     void refresh(UpstreamIndex index, Instant now);
 
--- a/src/edge/attemptverdict.cpp
+++ b/src/edge/attemptverdict.cpp
@@ -7,6 +7,11 @@
 // A retry with less time than this only adds load: no upstream answers that fast.
 constexpr Duration ShortestRetry = std::chrono::milliseconds(20);
 
+bool hasRoom(const UpstreamLoad &load)
+{
+    return load.waiting == 0 && load.running < load.slots;
+}
+
 bool provesNotRun(AttemptEnd end)
 {
     return end == AttemptEnd::NotRun || end == AttemptEnd::WrongUpstream || end == AttemptEnd::NotSent;
@@ -58,7 +63,7 @@
     return provesNotRun(end) && !mayHaveRun ? NextStep::RefuseNotRun : NextStep::FailMayHaveRun;
 }
 
-AttemptOutcome outcomeOf(AttemptEnd end)
+AttemptOutcome outcomeOf(AttemptEnd end, const std::optional<UpstreamLoad> &load)
 {
     switch (end) {
     case AttemptEnd::Answered:
@@ -66,7 +71,7 @@
     case AttemptEnd::Failed:
         return AttemptOutcome::ServerError;
     case AttemptEnd::NotRun:
-        return AttemptOutcome::RefusedShedding;
+        return load && hasRoom(*load) ? AttemptOutcome::RefusedWithRoom : AttemptOutcome::RefusedShedding;
     case AttemptEnd::WrongUpstream:
     case AttemptEnd::NotSent:
         return AttemptOutcome::ConnectFailed;
--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -18,9 +18,23 @@
 CallerHandler::CallerHandler(CallContext &context, std::uint64_t seed)
     : m_context(context)
     , m_split(seed)
+    , m_held(context.loop, [this](ServerRequest request, AnswerHandler answer) {
+        return forward(std::move(request), std::move(answer));
+    })
 {
 }
 
+void CallerHandler::open()
+{
+    if (m_isOpen) {
+        return;
+    }
+    m_isOpen = true;
+    m_held.releaseAll([this](ServerRequest request, AnswerHandler answer) {
+        return forward(std::move(request), std::move(answer));
+    });
+}
+
 void CallerHandler::setRoutes(std::shared_ptr<const RouteIndex> routes)
 {
     m_routes = std::move(routes);
@@ -65,6 +79,11 @@
 }
 
 std::shared_ptr<ActiveRequest> CallerHandler::handle(ServerRequest request, AnswerHandler answer)
+{
+    return m_isOpen ? forward(std::move(request), std::move(answer)) : m_held.hold(std::move(request), std::move(answer));
+}
+
+std::shared_ptr<ActiveRequest> CallerHandler::forward(ServerRequest request, AnswerHandler answer)
 {
     if (!m_routes) {
         answerOwn(request,
--- a/src/edge/callerhandler.h
+++ b/src/edge/callerhandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/forwardedcall.h"
+#include "edge/heldrequests.h"
 #include "edge/serversession.h"
 
 #include <memory>
@@ -15,6 +16,8 @@
 
     /** Requests that arrive from now on follow @p routes. */
     void setRoutes(std::shared_ptr<const RouteIndex> routes);
+    /** Routes and upstreams are known: requests are forwarded from now on, those held until now first. */
+    void open();
     /** Answers end their connections from now on. */
     void startDraining();
 
@@ -24,6 +27,7 @@
     void noteUnreadable(const std::string &client, int status, const std::string &reason) override;
 
 private:
+    std::shared_ptr<ActiveRequest> forward(ServerRequest request, AnswerHandler answer);
     void answerOwn(const ServerRequest &request, AnswerHandler &answer, ServerAnswer own, const std::string &reason);
     [[nodiscard]] Instant deadlineOf(const ServerRequest &request, const ForwardRoute &route) const;
     [[nodiscard]] Priority priorityOf(const ForwardRoute &route, const ServiceName &service) const;
@@ -33,6 +37,8 @@
     /** Rank of the most urgent routes of each service. */
     absl::flat_hash_map<ServiceName, int> m_urgentRank;
     SplitSelector m_split;
+    HeldRequests m_held;
+    bool m_isOpen = false;
     bool m_isDraining = false;
 };
 
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -23,8 +23,11 @@
 constexpr int ReservedDescriptors = 1200;
 constexpr int FewestSessions = 64;
 constexpr double PercentPerShare = 100.0;
-// Half of the allowed share: instances count their requests apart, and the bound holds for each window.
-constexpr double UsedShare = 0.5;
+// Of the allowed share; the rest covers requests that an instance counts just outside of a window.
+constexpr double UsedShare = 0.85;
+// Of the allowed extra, for bursts and for the tokens of one window. Processes that start again begin with a token each.
+constexpr double UsedExtraForBursts = 0.45;
+constexpr double UsedExtraForWindow = 0.45;
 constexpr double LargestRetryBurst = 2.0;
 constexpr std::size_t ServicePortSessions = 32;
 
@@ -176,6 +179,9 @@
         const MirrorChanges changes = m_mirror.tick(now);
         onStateChange(changes);
         m_spread.tellChanges(changes, now);
+        if (instanceCount() != m_configuredInstances) {
+            configureServices();
+        }
     }
     if (m_onShutDown) {
         checkShutdown();
@@ -195,6 +201,9 @@
     if (!changes.upstreams.empty()) {
         applyUpstreams();
     }
+    if (m_mirror.routes() && m_mirror.revision(StateKind::Upstreams)) {
+        m_handler.open();
+    }
     if (changes.instances) {
         applyInstances();
     }
@@ -218,16 +227,28 @@
     configureServices();
 }
 
+double EdgeServer::instanceCount() const
+{
+    return static_cast<double>(std::max({std::size_t{1}, m_mirror.instances().size(), m_fleet.memberIds().size()}));
+}
+
 double EdgeServer::retryBurst() const
 {
-    const double instances = std::max<double>(1, static_cast<double>(m_mirror.instances().size()));
-    return std::clamp(m_settings.retries.extra * UsedShare / instances, 1.0, LargestRetryBurst);
+    return std::clamp(m_settings.retries.extra * UsedExtraForBursts / instanceCount(), 1.0, LargestRetryBurst);
+}
+
+double EdgeServer::retriesPerSecond() const
+{
+    const double window = std::chrono::duration<double>(m_settings.retries.window).count();
+    return m_settings.retries.extra * UsedExtraForWindow / instanceCount() / window;
 }
 
 void EdgeServer::configureServices()
 {
+    m_configuredInstances = instanceCount();
     const RetrySettings retries{.budgetPercent = m_settings.retries.share * UsedShare * PercentPerShare,
-                                .largestBurst = retryBurst()};
+                                .largestBurst = retryBurst(),
+                                .perSecond = retriesPerSecond()};
     for (const ServiceName &service : m_services) {
         m_router.configure(service, {.retries = retries});
     }
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -46,7 +46,10 @@
     void configureServices();
     void dropUpstream(const ServiceName &service, const UpstreamId &upstream);
     void checkShutdown();
+    /** Instances that live or may come back, for the division of budgets. */
+    [[nodiscard]] double instanceCount() const;
     [[nodiscard]] double retryBurst() const;
+    [[nodiscard]] double retriesPerSecond() const;
 
     IoLoop &m_loop;
     EdgeSettings m_settings;
@@ -73,6 +76,8 @@
     std::function<void()> m_onShutDown;
     Instant m_shutdownStarted{};
     Instant m_lastTick;
+    /** Instances by which the budgets in force are divided. */
+    double m_configuredInstances = 0;
     std::uint64_t m_ticks = 0;
 };
 
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -195,7 +195,8 @@
 void ForwardedCall::onExchange(ExchangeResult result)
 {
     const AttemptEnd end = judge(result);
-    release(outcomeOf(end), result.elapsed, result.answer.headers);
+    const std::optional<UpstreamLoad> load = loadOf(result.answer.headers);
+    release(outcomeOf(end, load), result.elapsed, load);
     if (m_connection) {
         m_context.pool.giveBack(m_placement->upstream, m_placement->address, std::move(m_connection));
         m_connection.reset();
@@ -262,7 +263,7 @@
     if (m_connection) {
         m_connection->close();
         m_connection.reset();
-        release(AttemptOutcome::TimedOut, ProcessClock::now() - m_sentAt, {});
+        release(AttemptOutcome::TimedOut, ProcessClock::now() - m_sentAt, std::nullopt);
     }
     fail(GatewayTimeout, "deadline");
 }
@@ -279,7 +280,7 @@
         // Closing the connection tells the upstream to stop.
         m_connection->close();
         m_connection.reset();
-        release(AttemptOutcome::Cancelled, ProcessClock::now() - m_sentAt, {});
+        release(AttemptOutcome::Cancelled, ProcessClock::now() - m_sentAt, std::nullopt);
     }
     logLine(LogLevel::Info,
             "caller left before the answer",
@@ -290,18 +291,21 @@
     m_answer = nullptr;
 }
 
-void ForwardedCall::release(AttemptOutcome outcome, Duration elapsed, const Headers &headers)
+std::optional<UpstreamLoad> ForwardedCall::loadOf(const Headers &headers)
 {
-    AttemptReport report{.outcome = outcome, .serviceTime = elapsed};
-    const std::string *load = findHeader(headers, m_context.dialect.upstreamLoad);
-    if (load != nullptr) {
-        m_lastLoad = *load;
-        if (const std::optional<UpstreamLoad> parsed = m_context.dialect.parseLoad(*load)) {
-            report.pace = parsed->pace;
-        }
+    const std::string *stated = findHeader(headers, m_context.dialect.upstreamLoad);
+    if (stated == nullptr) {
+        return std::nullopt;
     }
+    m_lastLoad = *stated;
+    return m_context.dialect.parseLoad(*stated);
+}
+
+void ForwardedCall::release(AttemptOutcome outcome, Duration elapsed, const std::optional<UpstreamLoad> &load)
+{
+    const AttemptReport report{.outcome = outcome, .serviceTime = elapsed, .pace = load ? load->pace : std::nullopt};
     m_context.metrics
-        .counter(MetricNames::Attempts, {{"service", m_request.service.value()}, {"outcome", std::to_string(int(outcome))}})
+        .counter(MetricNames::Attempts, {{"service", m_request.service.value()}, {"outcome", std::string(attemptOutcomeName(outcome))}})
         .Increment();
     m_context.router.release(*m_placement, report);
 }
--- a/src/edge/forwardedcall.h
+++ b/src/edge/forwardedcall.h
@@ -61,7 +61,8 @@
     void refuse(Duration retryAfter, const std::string &reason);
     void fail(int status, const std::string &reason);
     void answerWith(ServerAnswer answer, const std::string &outcome, const std::string &reason);
-    void release(AttemptOutcome outcome, Duration elapsed, const Headers &headers);
+    std::optional<UpstreamLoad> loadOf(const Headers &headers);
+    void release(AttemptOutcome outcome, Duration elapsed, const std::optional<UpstreamLoad> &load);
     [[nodiscard]] std::string requestText(const Placement &placement, Duration timeLeft) const;
     [[nodiscard]] Duration timeLeft() const;
 
--- a/src/instance/attempttelemetry.cpp
+++ b/src/instance/attempttelemetry.cpp
@@ -7,33 +7,6 @@
 
 namespace {
 
-const char *outcomeName(AttemptOutcome outcome)
-{
-    switch (outcome) {
-    case AttemptOutcome::Success:
-        return "success";
-    case AttemptOutcome::ServerError:
-        return "server-error";
-    case AttemptOutcome::RefusedDraining:
-        return "refused-draining";
-    case AttemptOutcome::RefusedShedding:
-        return "refused-shedding";
-    case AttemptOutcome::RefusedStarting:
-        return "refused-starting";
-    case AttemptOutcome::ConnectFailed:
-        return "connect-failed";
-    case AttemptOutcome::Broken:
-        return "broken";
-    case AttemptOutcome::TimedOut:
-        return "timed-out";
-    case AttemptOutcome::Cancelled:
-        return "cancelled";
-    case AttemptOutcome::Unused:
-        return "unused";
-    }
-    return "unknown";
-}
-
 const char *decisionName(ClaimDecision decision)
 {
     switch (decision) {
@@ -64,7 +37,7 @@
     const absl::MutexLock lock(&m_mutex);
     prometheus::Counter *&counter = m_attempts[service].at(static_cast<std::size_t>(outcome));
     if (counter == nullptr) {
-        counter = &m_metrics.counter(MetricNames::Attempts, {{"service", service.value()}, {"outcome", outcomeName(outcome)}});
+        counter = &m_metrics.counter(MetricNames::Attempts, {{"service", service.value()}, {"outcome", std::string(attemptOutcomeName(outcome))}});
     }
     return *counter;
 }
@@ -75,7 +48,7 @@
     if (report.outcome == AttemptOutcome::Success || report.outcome == AttemptOutcome::Cancelled) {
         return;
     }
-    m_events.record({.kind = std::string("attempt.") + outcomeName(report.outcome),
+    m_events.record({.kind = std::string("attempt.") + std::string(attemptOutcomeName(report.outcome)),
                      .service = placement.service.value(),
                      .request = {},
                      .text = placement.upstream.value()});
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -20,9 +20,16 @@
     m_tokens = std::min(m_tokens, tokens);
 }
 
-void RetryBudget::noteFirstAttempt()
+void RetryBudget::setTokensPerSecond(double tokens)
 {
-    m_tokens = std::min(m_largestBurst, m_tokens + m_percent / 100);
+    m_tokensPerSecond = tokens;
+}
+
+void RetryBudget::noteFirstAttempt(Instant now)
+{
+    const double elapsed = m_lastFirst == Instant{} ? 0 : std::chrono::duration<double>(now - m_lastFirst).count();
+    m_lastFirst = now;
+    m_tokens = std::min(m_largestBurst, m_tokens + m_percent / 100 + elapsed * m_tokensPerSecond);
 }
 
 bool RetryBudget::take()
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -115,6 +115,7 @@
         service.routing = routing;
         service.retries.setPercent(routing.retries.budgetPercent);
         service.retries.setLargestBurst(routing.retries.largestBurst);
+        service.retries.setTokensPerSecond(routing.retries.perSecond);
         service.hedges.setPercent(routing.hedging.budgetPercent);
         service.router.setOptions({.coldStart = routing.coldStart},
                                   {.queue = static_cast<std::size_t>(std::max(0, routing.limits.queue))});
@@ -255,8 +256,8 @@
         return;
     }
     if (!query.hedge && query.excluded.empty()) {
-        service.retries.noteFirstAttempt();
-        service.hedges.noteFirstAttempt();
+        service.retries.noteFirstAttempt(now());
+        service.hedges.noteFirstAttempt(now());
     }
     const Instant time = now();
     SlotRequest request{.request = ++service.lastRequest,
--- a/src/routing/slotwire.cpp
+++ b/src/routing/slotwire.cpp
@@ -167,7 +167,7 @@
 {
     const auto index = table.find(wire.upstream());
     const bool isWithdrawal = wire.grant() == 0;
-    if ((!index && !isWithdrawal) || wire.outcome() > static_cast<std::uint32_t>(AttemptOutcome::Unused)) {
+    if ((!index && !isWithdrawal) || wire.outcome() > static_cast<std::uint32_t>(AttemptOutcome::RefusedWithRoom)) {
         return std::monostate();
     }
     return SlotMessage(SlotRelease{.request = wire.request(),
--- a/src/routing/upstreamtable.cpp
+++ b/src/routing/upstreamtable.cpp
@@ -15,6 +15,11 @@
 constexpr double SlownessHalfLifeSeconds = 1.0;
 // Caps one sample at 20 times the mean, so that a single hung request does not keep an upstream out for long.
 constexpr double LargestLogSample = 3.0;
+// Half of the requests at an upstream that fails tell it from the others after three or four.
+constexpr double FailureSmoothing = 0.2;
+constexpr double FailureHalfLifeSeconds = 2.0;
+// A failed attempt costs at least one more attempt and often the request, which is worth several service times.
+constexpr double SlownessPerFailure = 8.0;
 // Neighbours on an upstream's machine come and go within 150 ms or so; an older statement says little.
 constexpr Duration PaceLifetime = std::chrono::milliseconds(200);
 constexpr double PaceSmoothing = 1.0 / 64;
@@ -135,13 +140,19 @@
     }
     switch (report.outcome) {
     case AttemptOutcome::Success:
+        recordOutcome(entry, false, now);
         recordSuccess(entry, report.serviceTime, now);
         break;
     case AttemptOutcome::ServerError:
     case AttemptOutcome::Broken:
+        recordOutcome(entry, true, now);
         recordFailure(index, now, 1);
         break;
+    case AttemptOutcome::RefusedWithRoom:
+        recordOutcome(entry, true, now);
+        break;
     case AttemptOutcome::ConnectFailed:
+        recordOutcome(entry, true, now);
         recordFailure(index, now, ConnectFailureWeight);
         break;
     case AttemptOutcome::TimedOut:
@@ -185,6 +196,19 @@
     return entry.pace ? std::optional(entry.paceAt) : std::nullopt;
 }
 
+double UpstreamTable::failureShareOf(const Entry &entry, Instant now)
+{
+    const double age = std::max(0.0, toSeconds(now - entry.failureAt));
+    return entry.failureShare * std::exp2(-age / FailureHalfLifeSeconds);
+}
+
+void UpstreamTable::recordOutcome(Entry &entry, bool hasFailed, Instant now)
+{
+    const double kept = failureShareOf(entry, now);
+    entry.failureShare = kept + FailureSmoothing * ((hasFailed ? 1.0 : 0.0) - kept);
+    entry.failureAt = now;
+}
+
 double UpstreamTable::paceOf(const Entry &entry, Instant now) const
 {
     if (!entry.pace) {
@@ -302,7 +326,7 @@
     const int limit = currentLimit(entry, now);
     const double age = std::max(0.0, toSeconds(now - entry.lastSample));
     const double learned = std::exp(entry.logSlowness * std::exp2(-age / SlownessHalfLifeSeconds));
-    const double slowness = learned * paceOf(entry, now);
+    const double slowness = learned * paceOf(entry, now) * (1 + SlownessPerFailure * failureShareOf(entry, now));
     if (limit == entry.limit && slowness == entry.slowness) {
         return;
     }
--- a/tests/routing/upstreamtabletest.cpp
+++ b/tests/routing/upstreamtabletest.cpp
@@ -108,7 +108,7 @@
     RetryBudget budget(10);
     int taken = 0;
     for (int request = 0; request < 1000; ++request) {
-        budget.noteFirstAttempt();
+        budget.noteFirstAttempt(Start);
         taken += budget.take() ? 1 : 0;
     }
     CHECK(taken <= 101);
