--- a/bench/policysim/simulation.h
+++ b/bench/policysim/simulation.h
@@ -165,8 +165,8 @@
             request.instance = (request.instance + 1) % EntryInstances;
         }
         Instance &instance = m_instances[static_cast<std::size_t>(request.instance)];
-        instance.retries.noteFirstAttempt(m_fabric.loop.now());
-        instance.hedges.noteFirstAttempt(m_fabric.loop.now());
+        instance.retries.noteFirstAttempt(toInstant(m_fabric.loop.now()));
+        instance.hedges.noteFirstAttempt(toInstant(m_fabric.loop.now()));
         m_fabric.loop.at(deadlineOf(number), [this, number] {
             if (!m_requests[number].isDone) {
                 miss(number);
--- a/src/edge/clientconnection.cpp
+++ b/src/edge/clientconnection.cpp
@@ -214,13 +214,13 @@
 
 void ClientConnection::noteKeepAlive(const Headers &headers)
 {
-    constexpr std::string_view Prefix = "timeout=";
+    constexpr std::string_view prefix = "timeout=";
     const std::string *value = findHeader(headers, "Keep-Alive");
-    const std::size_t start = value == nullptr ? std::string::npos : value->find(Prefix);
+    const std::size_t start = value == nullptr ? std::string::npos : value->find(prefix);
     if (start == std::string::npos) {
         return;
     }
-    std::string_view digits = std::string_view(*value).substr(start + Prefix.size());
+    std::string_view digits = std::string_view(*value).substr(start + prefix.size());
     digits = digits.substr(0, std::min(digits.find_first_not_of("0123456789"), digits.size()));
     if (const std::optional<std::int64_t> seconds = parseNumber(digits)) {
         m_serverIdleTimeout = std::chrono::seconds(*seconds);
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -31,7 +31,8 @@
 constexpr double LargestRetryBurst = 2.0;
 constexpr std::size_t ServicePortSessions = 32;
 
-const char *Cluster = "fm";
+// Short: it travels in every message between instances.
+constexpr const char *Cluster = "fm";
 
 std::uint64_t randomSeed()
 {
@@ -41,9 +42,9 @@
 
 Member selfMember(const EdgeSettings &settings)
 {
-    constexpr std::size_t RunDigits = 6;
+    constexpr std::size_t runDigits = 6;
     // A restarted process is a new member; the name stays in front for the reader of a log.
-    const std::string run = std::to_string(randomSeed()).substr(0, RunDigits);
+    const std::string run = std::to_string(randomSeed()).substr(0, runDigits);
     return {.id = InstanceId(settings.name + "/" + run),
             .peerAddress = settings.ip + ":" + std::to_string(settings.peerPort),
             .adminAddress = {},
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -305,7 +305,8 @@
 {
     const AttemptReport report{.outcome = outcome, .serviceTime = elapsed, .pace = load ? load->pace : std::nullopt};
     m_context.metrics
-        .counter(MetricNames::Attempts, {{"service", m_request.service.value()}, {"outcome", std::string(attemptOutcomeName(outcome))}})
+        .counter(MetricNames::Attempts,
+                 {{"service", m_request.service.value()}, {"outcome", std::string(attemptOutcomeName(outcome))}})
         .Increment();
     m_context.router.release(*m_placement, report);
 }
--- a/src/edge/heldrequests.cpp
+++ b/src/edge/heldrequests.cpp
@@ -38,11 +38,10 @@
         return m_onLate(std::move(request), std::move(answer));
     }
     m_held.push_back(std::make_shared<Held>(std::move(request), std::move(answer)));
-    const std::shared_ptr<ActiveRequest> held = m_held.back();
     if (m_held.size() == 1) {
         startTimer();
     }
-    return held;
+    return m_held.back();
 }
 
 void HeldRequests::release(const std::shared_ptr<Held> &held, const Handler &handler)
--- a/src/edge/serversession.cpp
+++ b/src/edge/serversession.cpp
@@ -46,9 +46,9 @@
 
 bool mayHaveBody(int status)
 {
-    constexpr int NoContent = 204;
-    constexpr int NotModified = 304;
-    return status != NoContent && status != NotModified;
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    return status != noContent && status != notModified;
 }
 
 std::string answerText(const ServerAnswer &answer, bool isHead, bool keepsAlive, bool isHttp10)
--- a/src/edge/servicehandler.cpp
+++ b/src/edge/servicehandler.cpp
@@ -12,8 +12,8 @@
 
 std::shared_ptr<ActiveRequest> ServiceHandler::handle(ServerRequest request, AnswerHandler answer)
 {
-    constexpr int NotFound = 404;
-    answer(request.target == m_path ? m_answer() : ServerAnswer{.status = NotFound});
+    constexpr int notFound = 404;
+    answer(request.target == m_path ? m_answer() : ServerAnswer{.status = notFound});
     return nullptr;
 }
 
--- a/src/edge/statespread.cpp
+++ b/src/edge/statespread.cpp
@@ -220,6 +220,7 @@
         return;
     }
     std::vector<StateChange> changes;
+    changes.reserve(static_cast<std::size_t>(push.objects_size()));
     for (const Wire::SharedObject &object : push.objects()) {
         if (std::optional<StateChange> change = fromWire(object, *kind)) {
             changes.push_back(std::move(*change));
@@ -227,6 +228,7 @@
     }
     if (push.parts() > 0) {
         std::vector<StateObject> objects;
+        objects.reserve(changes.size());
         for (StateChange &change : changes) {
             objects.push_back(std::move(change.object));
         }
--- a/src/instance/attempttelemetry.cpp
+++ b/src/instance/attempttelemetry.cpp
@@ -37,7 +37,8 @@
     const absl::MutexLock lock(&m_mutex);
     prometheus::Counter *&counter = m_attempts[service].at(static_cast<std::size_t>(outcome));
     if (counter == nullptr) {
-        counter = &m_metrics.counter(MetricNames::Attempts, {{"service", service.value()}, {"outcome", std::string(attemptOutcomeName(outcome))}});
+        counter = &m_metrics.counter(MetricNames::Attempts,
+                                     {{"service", service.value()}, {"outcome", std::string(attemptOutcomeName(outcome))}});
     }
     return *counter;
 }
--- a/tests/edge/clientconnectiontest.cpp
+++ b/tests/edge/clientconnectiontest.cpp
@@ -48,7 +48,7 @@
     REQUIRE(runUntil(loop, [&] {
         return result.has_value();
     }));
-    const Outcome outcome{.result = std::move(*result), .isReusable = connection->isReusable()};
+    Outcome outcome{.result = std::move(*result), .isReusable = connection->isReusable()};
     connection->close();
     return outcome;
 }
--- a/tests/routes/routesettest.cpp
+++ b/tests/routes/routesettest.cpp
@@ -63,11 +63,11 @@
     ForwardRoute split = route("split", "h", "/");
     split.targets = {{.service = ServiceName("a"), .weight = 90}, {.service = ServiceName("b"), .weight = 10}};
     int toLighter = 0;
-    constexpr int Instances = 400;
-    for (std::uint64_t seed = 1; seed <= Instances; ++seed) {
+    constexpr int instances = 400;
+    for (std::uint64_t seed = 1; seed <= instances; ++seed) {
         SplitSelector selector(seed);
         toLighter += selector.next(split).value() == "b" ? 1 : 0;
     }
     // The rule allows a share 0.1 off the weight.
-    CHECK(std::abs(static_cast<double>(toLighter) / Instances - 0.1) < 0.1);
+    CHECK(std::abs(static_cast<double>(toLighter) / instances - 0.1) < 0.1);
 }
