Test the forwarded call, the store follower and the pace of upstreams; repeat the operators' walks

Change: calls against scripted upstreams (13 ends of attempts, deadlines, leaving callers), the follower against a scripted store (cut, refused, lost history, cut pages, silence), the walks from a request's id to its cause, pace and failure shares, the retry budget by time, the bounded log. Log lines can be captured.

--- a/include/filbertmount/telemetry/log.h
+++ b/include/filbertmount/telemetry/log.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace Filbertmount {
 
@@ -41,6 +42,19 @@
  */
 void setUpLog(const LogOptions &options);
 
+/** While it lives, log lines go to it instead of the output. For tests and programs that embed the library; one at a time. */
+class LogCapture
+{
+public:
+    explicit LogCapture(LogLevel level = LogLevel::Info);
+    ~LogCapture();
+    LogCapture(const LogCapture &) = delete;
+    LogCapture &operator=(const LogCapture &) = delete;
+
+    /** Lines since the start, without their times. */
+    [[nodiscard]] std::vector<std::string> lines() const;
+};
+
 /**
  * Writes one JSON object on one line: "time" (UTC, microseconds), "level", "message", then @p fields.
  * Thread-safe.
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -41,6 +41,15 @@
     return mutex;
 }
 
+/** Lines of the LogCapture that lives; guarded by optionsMutex(). */
+std::vector<std::string> &capturedLines()
+{
+    static std::vector<std::string> lines;
+    return lines;
+}
+
+std::atomic<bool> isCapturing{false};
+
 std::string &instanceName()
 {
     static std::string name;
@@ -120,8 +129,33 @@
     return toText(line);
 }
 
+LogCapture::LogCapture(LogLevel level)
+{
+    const absl::MutexLock lock(&optionsMutex());
+    capturedLines().clear();
+    lowestLevel = level;
+    isCapturing = true;
+}
+
+LogCapture::~LogCapture()
+{
+    isCapturing = false;
+}
+
+std::vector<std::string> LogCapture::lines() const
+{
+    const absl::MutexLock lock(&optionsMutex());
+    return capturedLines();
+}
+
 void logLine(LogLevel level, std::string_view message, std::initializer_list<LogField> fields)
 {
+    if (isCapturing && level >= lowestLevel.load()) {
+        const std::string text = logLineText(level, message, fields, std::string_view());
+        const absl::MutexLock lock(&optionsMutex());
+        capturedLines().push_back(text);
+        return;
+    }
     if (!sinkIsSetUp || level < lowestLevel.load()) {
         return;
     }
--- /dev/null
+++ b/tests/edge/forwardedcalltest.cpp
@@ -0,0 +1,291 @@
+#include "edge/forwardedcall.h"
+
+#include "support/loopserver.h"
+
+#include <filbertmount/telemetry/log.h>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+using namespace Filbertmount;
+using namespace Filbertmount::TestSupport;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceName Shop("shop");
+
+std::optional<UpstreamLoad> noLoad(std::string_view /*value*/)
+{
+    return std::nullopt;
+}
+
+HttpDialect dialect()
+{
+    return {.attemptId = "Attempt",
+            .timeLeft = "Time-Left",
+            .expectedUpstream = "Expected",
+            .answerStamp = "Stamp",
+            .notRun = "Not-Run",
+            .upstreamId = "Upstream",
+            .upstreamLoad = "Load",
+            .readinessPath = "/ready",
+            .parseLoad = &noLoad};
+}
+
+std::string answer(int status, const std::string &headers, const std::string &body = "body")
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nAttempt: id-1\r\n" + headers
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string Good = answer(200, "Stamp: s\r\n");
+const std::string Full = answer(503, "Not-Run: 1\r\n");
+const std::string Moved = answer(421, "Upstream: other\r\n");
+const std::string Error = answer(500, "Stamp: s\r\n", "error");
+
+/** What an upstream does with a request: answers, or ends the connection. */
+struct Reaction {
+    std::string text;
+    bool resets = false;
+};
+
+/** A call with its router, against scripted upstreams that follow one list of reactions. */
+class Fixture
+{
+public:
+    explicit Fixture(std::vector<Reaction> reactions)
+        : m_reactions(std::move(reactions))
+        , router({.self = InstanceId("self")})
+        , pool(loop)
+        , names(dialect())
+        , context{.loop = loop,
+                  .dialect = names,
+                  .router = router,
+                  .pool = pool,
+                  .metrics = metrics,
+                  .onWrongUpstream = [this](const ServiceName & /*service*/, const UpstreamId &upstream) {
+                      moved.push_back(upstream);
+                  }}
+    {
+        for (int index = 0; index < 3; ++index) {
+            servers.push_back(std::make_unique<ScriptedServer>(loop, [this](ScriptedPeer &peer) {
+                react(peer);
+            }));
+        }
+        router.configure(Shop, {.retries = {.budgetPercent = 100}});
+        std::vector<RoutedUpstream> upstreams;
+        for (std::size_t index = 0; index < servers.size(); ++index) {
+            upstreams.push_back(
+                {.id = UpstreamId("u" + std::to_string(index)), .address = servers[index]->address(), .slots = 4});
+        }
+        router.updateUpstreams(Shop, upstreams);
+    }
+
+    std::shared_ptr<ForwardedCall> start(bool isRepeatable, Duration timeout = 1s)
+    {
+        ForwardRoute route{.name = "r",
+                           .host = "h",
+                           .pathPrefix = "/",
+                           .isRepeatable = isRepeatable,
+                           .timeout = timeout,
+                           .maxAttempts = 2,
+                           .targets = {{.service = Shop, .weight = 1}}};
+        auto routes = std::make_shared<const RouteIndex>(RouteSet{.version = RouteSetVersion(7), .routes = {route}});
+        const Instant now = ProcessClock::now();
+        RoutedRequest request{.request = {.method = isRepeatable ? "GET" : "POST",
+                                          .target = "/1",
+                                          .headers = {{"Host", "h"}, {"Attempt", "id-1"}, {"Time-Left", "9000"}},
+                                          .arrival = now},
+                              .routes = routes,
+                              .route = &routes->routes().routes[0],
+                              .service = Shop,
+                              .attemptId = "id-1",
+                              .deadline = now + timeout};
+        auto call = std::make_shared<ForwardedCall>(context, std::move(request), [this](ServerAnswer given) {
+            result = std::move(given);
+        });
+        call->start();
+        return call;
+    }
+
+    ServerAnswer run(bool isRepeatable, Duration timeout = 1s)
+    {
+        start(isRepeatable, timeout);
+        REQUIRE(runUntil(loop, [this] {
+            return result.has_value();
+        }));
+        return *result;
+    }
+
+    [[nodiscard]] std::size_t received() const
+    {
+        return requests.size();
+    }
+
+    /** Log lines that carry the request's id. */
+    [[nodiscard]] std::vector<nlohmann::json> linesOfRequest() const
+    {
+        std::vector<nlohmann::json> found;
+        for (const std::string &line : capture.lines()) {
+            nlohmann::json parsed = nlohmann::json::parse(line);
+            if (parsed.value("request", std::string()) == "id-1") {
+                found.push_back(std::move(parsed));
+            }
+        }
+        return found;
+    }
+
+private:
+    void react(ScriptedPeer &peer)
+    {
+        if (peer.received.find("\r\n\r\n") == std::string::npos) {
+            return;
+        }
+        requests.push_back(std::exchange(peer.received, {}));
+        const Reaction reaction = m_reactions.at(std::min(requests.size(), m_reactions.size()) - 1);
+        if (reaction.resets) {
+            peer.reset();
+        } else {
+            peer.send(reaction.text);
+        }
+    }
+
+    std::vector<Reaction> m_reactions;
+
+public:
+    LogCapture capture;
+    IoLoop loop;
+    Metrics metrics;
+    Router router;
+    UpstreamPool pool;
+    HttpDialect names;
+    CallContext context;
+    std::vector<std::unique_ptr<ScriptedServer>> servers;
+    std::vector<std::string> requests;
+    std::vector<UpstreamId> moved;
+    std::optional<ServerAnswer> result;
+};
+
+} // namespace
+
+TEST_CASE("forwarded call: which ends of an attempt lead to another one, and what the caller gets")
+{
+    struct Row {
+        const char *name;
+        bool isRepeatable;
+        std::vector<Reaction> reactions;
+        int status;
+        std::size_t received;
+    };
+    const Row rows[] = {
+        {"answered", false, {{Good}}, 200, 1},
+        {"full, then answered", false, {{Full}, {Good}}, 200, 2},
+        {"full twice", false, {{Full}, {Full}}, 503, 2},
+        {"address of another upstream, then answered", false, {{Moved}, {Good}}, 200, 2},
+        {"unrepeatable, reset", false, {{"", true}, {Good}}, 502, 1},
+        {"unrepeatable, failed", false, {{Error}, {Good}}, 500, 1},
+        {"unrepeatable, no stamp", false, {{answer(200, "")}, {Good}}, 502, 1},
+        {"unrepeatable, cut short", false, {{Good.substr(0, 30)}, {Good}}, 504, 1},
+        {"repeatable, reset", true, {{"", true}, {Good}}, 200, 2},
+        {"repeatable, failed", true, {{Error}, {Good}}, 200, 2},
+        {"repeatable, failed twice", true, {{Error}, {Error}}, 500, 2},
+        {"repeatable, reset and then full", true, {{"", true}, {Full}}, 502, 2},
+        {"repeatable, coded body", true, {{answer(200, "Stamp: s\r\nContent-Encoding: gzip\r\n")}, {Good}}, 200, 2},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        Fixture fixture(row.reactions);
+        CHECK(fixture.run(row.isRepeatable, 500ms).status == row.status);
+        CHECK(fixture.received() == row.received);
+    }
+}
+
+TEST_CASE("forwarded call: an upstream's answer is passed on unchanged, its connection headers are not")
+{
+    Fixture fixture({{answer(404, "Stamp: s\r\nKeep-Alive: timeout=5\r\nX-Own: 1\r\n", "gone")}});
+    const ServerAnswer given = fixture.run(true);
+    CHECK(given.status == 404);
+    CHECK(given.body == "gone");
+    CHECK(*findHeader(given.headers, "Stamp") == "s");
+    CHECK(*findHeader(given.headers, "X-Own") == "1");
+    CHECK(findHeader(given.headers, "Keep-Alive") == nullptr);
+}
+
+TEST_CASE("forwarded call: the upstream gets the time that is left and its own name")
+{
+    Fixture fixture({{Good}});
+    fixture.run(true, 700ms);
+    const std::string &request = fixture.requests.at(0);
+    const std::size_t at = request.find("Time-Left: ");
+    REQUIRE(at != std::string::npos);
+    const int milliseconds = std::atoi(request.c_str() + at + 11); // NOLINT(cert-err34-c): the test sets the format.
+    CHECK(milliseconds <= 700);
+    CHECK(milliseconds > 0);
+    CHECK(request.find("Time-Left: 9000") == std::string::npos);
+    CHECK(request.find("Expected: u") != std::string::npos);
+}
+
+TEST_CASE("forwarded call: when the caller leaves, the upstream's connection ends")
+{
+    Fixture fixture({{""}});
+    const std::shared_ptr<ForwardedCall> call = fixture.start(true, 5s);
+    REQUIRE(runUntil(fixture.loop, [&] {
+        return fixture.received() == 1;
+    }));
+    call->abandon();
+    const auto isClosed = [&] {
+        return std::any_of(fixture.servers.begin(), fixture.servers.end(), [](const auto &server) {
+            return std::any_of(server->peers.begin(), server->peers.end(), [](const auto &peer) {
+                return peer->isClosedByClient;
+            });
+        });
+    };
+    CHECK(runUntil(fixture.loop, isClosed));
+    CHECK_FALSE(fixture.result.has_value());
+}
+
+// The walks of docs/OPERATIONS.md: from the id of a failed request to its cause.
+
+TEST_CASE("operations walk: a refusal under load names the reason, the service and the version of the routes")
+{
+    Fixture fixture({{Good}});
+    fixture.router.updateUpstreams(Shop, {});
+    CHECK(fixture.run(true).status == 503);
+    CHECK(findHeader(fixture.result->headers, "Retry-After") != nullptr);
+    const std::vector<nlohmann::json> lines = fixture.linesOfRequest();
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["outcome"] == "refused");
+    CHECK(lines[0]["reason"] == "no-upstream");
+    CHECK(lines[0]["service"] == "shop");
+    CHECK(lines[0]["routes_version"] == 7);
+    CHECK(lines[0]["attempts"] == 0);
+}
+
+TEST_CASE("operations walk: an order that may have run names the upstream that may have run it")
+{
+    Fixture fixture({{"", true}});
+    CHECK(fixture.run(false).status == 502);
+    const std::vector<nlohmann::json> lines = fixture.linesOfRequest();
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[0]["end"] == "broken");
+    CHECK(lines[0]["reason"] != "");
+    CHECK(lines[1]["outcome"] == "failed");
+    CHECK(lines[1]["reason"] == "broken");
+    CHECK(lines[1]["upstream"] == lines[0]["upstream"]);
+}
+
+TEST_CASE("operations walk: a request that met a leaving upstream shows both attempts")
+{
+    Fixture fixture({{Moved}, {Good}});
+    CHECK(fixture.run(false).status == 200);
+    const std::vector<nlohmann::json> lines = fixture.linesOfRequest();
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[0]["end"] == "wrong-upstream");
+    CHECK(lines[0]["attempt"] == 1);
+    CHECK(lines[1]["attempts"] == 2);
+    REQUIRE(fixture.moved.size() == 1);
+    CHECK(fixture.moved[0].value() == lines[0]["upstream"].get<std::string>());
+}
--- /dev/null
+++ b/tests/edge/storefollowertest.cpp
@@ -0,0 +1,145 @@
+#include "edge/storefollower.h"
+
+#include "support/loopserver.h"
+
+#include "storeprotocol.h"
+
+#include <doctest/doctest.h>
+
+using namespace Filbertmount;
+using namespace Filbertmount::TestSupport;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string object(const std::string &id, int revision)
+{
+    return R"({"metadata":{"name":")" + id + R"(","revision":)" + std::to_string(revision)
+        + R"(},"spec":{"address":"10.0.0.9:80","info":{"service":"s","capacity_slots":2}},"status":{"state":"ready"}})";
+}
+
+std::string reply(int status, const std::string &body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string listing(const std::string &items, int revision, bool hasMore = false)
+{
+    return reply(200,
+                 R"({"items":[)" + items + R"(],"has_more":)" + (hasMore ? "true" : "false") + R"(,"store_revision":)"
+                     + std::to_string(revision) + "}");
+}
+
+/** A stand-in of the platform's store that answers call after call from a script; then it stays silent. */
+class Fixture
+{
+public:
+    explicit Fixture(std::vector<std::string> script)
+        : m_script(std::move(script))
+        , server(loop,
+                 [this](ScriptedPeer &peer) {
+                     answer(peer);
+                 })
+        , follower(loop,
+                   Platform::StoreProtocol(),
+                   StateKind::Upstreams,
+                   {.store = server.endpoint(),
+                    .watchWait = 200ms,
+                    .callTimeout = 100ms,
+                    .pauseAfterChanges = 5ms,
+                    .firstRetry = 5ms,
+                    .longestRetry = 5ms},
+                   mirror,
+                   metrics,
+                   [](StateKind /*kind*/, std::optional<Revision> /*before*/, const MirrorChanges & /*changes*/) {})
+    {
+    }
+
+    bool runUntilCalls(std::size_t count)
+    {
+        return runUntil(loop, [&] {
+            return calls.size() >= count;
+        });
+    }
+
+    std::vector<std::string> calls;
+
+private:
+    void answer(ScriptedPeer &peer)
+    {
+        const std::size_t end = peer.received.find("\r\n\r\n");
+        if (end == std::string::npos) {
+            return;
+        }
+        calls.push_back(peer.received.substr(0, peer.received.find(" HTTP/1.1")));
+        peer.received.erase(0, end + 4);
+        if (calls.size() > m_script.size()) {
+            return;
+        }
+        const std::string &text = m_script[calls.size() - 1];
+        if (text == "reset") {
+            peer.reset();
+        } else {
+            peer.send(text);
+        }
+    }
+
+    std::vector<std::string> m_script;
+
+public:
+    IoLoop loop;
+    ScriptedServer server;
+    StateMirror mirror;
+    Metrics metrics;
+    StoreFollower<Platform::StoreProtocol> follower;
+};
+
+} // namespace
+
+TEST_CASE("store follower: reads all pages and watches from the revision of the first one")
+{
+    Fixture fixture({listing(object("a", 3), 10, true), listing(object("b", 4), 12)});
+    fixture.follower.start();
+    REQUIRE(fixture.runUntilCalls(3));
+    CHECK(fixture.calls[1].find("after=a") != std::string::npos);
+    CHECK(fixture.calls[2].find("watch=10") != std::string::npos);
+    CHECK(fixture.mirror.upstreams().size() == 2);
+}
+
+// A watch that is begun again waits for the next change although its history is gone: days with a compacted store broke
+// the bound for configurations.
+TEST_CASE("store follower: lists again after a watch that was cut, refused, or has lost its history")
+{
+    for (const std::string &failure : {std::string("reset"),
+                                       reply(503, "{}"),
+                                       reply(429, "{}"),
+                                       reply(410, "{}"),
+                                       reply(200, "{\"events\":"),
+                                       std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{\"")}) {
+        CAPTURE(failure);
+        Fixture fixture({listing(object("a", 3), 10), failure, listing(object("a", 3) + "," + object("b", 11), 11)});
+        fixture.follower.start();
+        REQUIRE(fixture.runUntilCalls(4));
+        CHECK(fixture.calls[2].find("watch") == std::string::npos);
+        CHECK(fixture.calls[3].find("watch=11") != std::string::npos);
+        CHECK(fixture.mirror.upstreams().size() == 2);
+    }
+}
+
+TEST_CASE("store follower: a page that is cut off removes nothing")
+{
+    Fixture fixture(
+        {listing(object("a", 3) + "," + object("b", 4), 10), reply(410, "{}"), listing(object("a", 3), 12, true), "reset"});
+    fixture.follower.start();
+    REQUIRE(fixture.runUntilCalls(5));
+    CHECK(fixture.mirror.upstreams().size() == 2);
+}
+
+TEST_CASE("store follower: a silent store is noticed by the timeout of the call")
+{
+    Fixture fixture({listing(object("a", 3), 10)});
+    fixture.follower.start();
+    REQUIRE(fixture.runUntilCalls(3));
+    CHECK(fixture.calls[1].find("watch") != std::string::npos);
+    CHECK(fixture.calls[2].find("watch") == std::string::npos);
+}
--- a/tests/routing/slotclienttest.cpp
+++ b/tests/routing/slotclienttest.cpp
@@ -128,3 +128,22 @@
     CHECK(fixture.decisions.placements.size() == 1);
     CHECK(fixture.decisions.refusals.empty());
 }
+
+TEST_CASE("client gives a grant back when the upstream drains or is gone for this instance")
+{
+    for (const bool isGone : {false, true}) {
+        CAPTURE(isGone);
+        Fixture fixture;
+        fixture.ask(1);
+        if (isGone) {
+            fixture.table.update(std::vector<RoutedUpstream>{{.id = UpstreamId("u0"), .slots = 2}}, Start);
+        } else {
+            fixture.table.setState(1, UpstreamState::Draining, Start);
+        }
+        fixture.client.handle(
+            Dispatcher, SlotGrant{.request = 1, .upstream = 1, .grant = 9}, Start + 1ms, fixture.outbox, fixture.decisions);
+        REQUIRE(fixture.decisions.placements.size() == 1);
+        CHECK(fixture.decisions.placements[0].upstream == 0);
+        CHECK(fixture.decisions.placements[0].grant == NoGrant);
+    }
+}
--- a/tests/routing/upstreamtabletest.cpp
+++ b/tests/routing/upstreamtabletest.cpp
@@ -148,3 +148,51 @@
     }
     CHECK(admission.held() == 4);
 }
+
+// Load pattern: neighbours on the machines of some upstreams slow all their work for 150 ms or so.
+TEST_CASE("table: a stated pace counts at once and only for a short time")
+{
+    UpstreamTable table;
+    table.update(std::vector<RoutedUpstream>{{.id = UpstreamId("u0"), .slots = 2}, {.id = UpstreamId("u1"), .slots = 2}}, Start);
+    table.recordPace(0, 5, Start);
+    CHECK(table.slowness(0) == doctest::Approx(5));
+    CHECK(table.slowness(1) == doctest::Approx(1));
+    table.recordPace(0, 1, Start + 150ms);
+    CHECK(table.slowness(0) == doctest::Approx(1));
+    table.recordPace(0, 5, Start + 300ms);
+    table.tick(Start + 900ms);
+    CHECK(table.slowness(0) < 2);
+}
+
+// Load pattern: all upstreams of a service refuse half of the requests while they are idle.
+TEST_CASE("table: refusals of upstreams with room do not lower their limits, and cost them their place for a while")
+{
+    UpstreamTable table;
+    table.update(std::vector<RoutedUpstream>{{.id = UpstreamId("u0"), .slots = 4}, {.id = UpstreamId("u1"), .slots = 4}}, Start);
+    Instant now = Start;
+    for (int refusal = 0; refusal < 10; ++refusal) {
+        now += 20ms;
+        table.record(0, {.outcome = AttemptOutcome::RefusedWithRoom}, now);
+    }
+    CHECK(table.limit(0) == 4);
+    CHECK(table.slowness(0) > 3 * table.slowness(1));
+    table.tick(now + 10s);
+    CHECK(table.slowness(0) < 1.5);
+}
+
+TEST_CASE("retry budget: tokens that come with time and the burst stay within their bounds")
+{
+    RetryBudget budget(10);
+    budget.setLargestBurst(2);
+    budget.setTokensPerSecond(0.5);
+    int taken = 0;
+    constexpr int seconds = 10;
+    for (int request = 0; request < 10 * seconds; ++request) {
+        budget.noteFirstAttempt(Start + request * 100ms);
+        taken += budget.take() ? 1 : 0;
+        taken += budget.take() ? 1 : 0;
+    }
+    // One at the start, 10% of 100 requests, and half a token a second.
+    CHECK(taken <= 1 + 10 + 5);
+    CHECK(taken >= 14);
+}
--- a/tests/telemetry/telemetrytest.cpp
+++ b/tests/telemetry/telemetrytest.cpp
@@ -2,6 +2,8 @@
 #include <filbertmount/telemetry/log.h>
 #include <filbertmount/telemetry/metrics.h>
 
+#include "telemetry/boundedlogbackend.h"
+
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
@@ -68,3 +70,17 @@
     CHECK(text.find("filbertmount_requests_total{service=\"shopfront\"} 2") != std::string::npos);
     CHECK(text.find("le=\"0.0019\"} 1") != std::string::npos);
 }
+
+TEST_CASE("log: lines beyond the rate are counted instead of written")
+{
+    LineRateLimit limit(10);
+    const Instant start{std::chrono::seconds(5)};
+    int admitted = 0;
+    for (int line = 0; line < 100; ++line) {
+        admitted += limit.admit(start) ? 1 : 0;
+    }
+    CHECK(admitted == 10);
+    CHECK(limit.takeDropped() == 90);
+    CHECK(limit.takeDropped() == 0);
+    CHECK(limit.admit(start + std::chrono::seconds(1)));
+}
