--- a/src/edge/clientconnection.cpp
+++ b/src/edge/clientconnection.cpp
@@ -1,5 +1,7 @@
 #include "edge/clientconnection.h"
 
+#include "edge/beastheaders.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -15,15 +17,6 @@
 constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned SwitchingProtocols = 101;
 
-Headers headersOf(const Http::fields &fields)
-{
-    Headers headers;
-    for (const auto &field : fields) {
-        headers.push_back({.name = std::string(field.name_string()), .value = std::string(field.value())});
-    }
-    return headers;
-}
-
 } // namespace
 
 ClientConnection::ClientConnection(IoLoop &loop, Tcp::endpoint server)
--- a/src/edge/serversession.cpp
+++ b/src/edge/serversession.cpp
@@ -1,5 +1,7 @@
 #include "edge/serversession.h"
 
+#include "edge/beastheaders.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -19,15 +21,6 @@
 constexpr Duration LingerTime = std::chrono::milliseconds(500);
 constexpr unsigned Http10 = 10;
 
-Headers headersOf(const Http::fields &fields)
-{
-    Headers headers;
-    for (const auto &field : fields) {
-        headers.push_back({.name = std::string(field.name_string()), .value = std::string(field.value())});
-    }
-    return headers;
-}
-
 bool isSafeMethod(std::string_view method)
 {
     return method == "GET" || method == "HEAD" || method == "OPTIONS";
--- a/src/edge/statewire.cpp
+++ b/src/edge/statewire.cpp
@@ -1,25 +1,13 @@
 #include "edge/statewire.h"
 
+#include "peer/wiretime.h"
+
 #include <algorithm>
 
 namespace Filbertmount {
 
 namespace {
 
-// A day; the bound keeps a malformed value from overflowing.
-constexpr std::uint64_t LongestMicroseconds = 86'400'000'000;
-
-std::uint64_t toMicroseconds(Duration duration)
-{
-    return static_cast<std::uint64_t>(
-        std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(duration).count()));
-}
-
-Duration fromMicroseconds(std::uint64_t microseconds)
-{
-    return std::chrono::microseconds(std::min(microseconds, LongestMicroseconds));
-}
-
 void write(const UpstreamRecord &record, Wire::SharedUpstream &wire)
 {
     wire.set_id(record.id.value());
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,5 +1,6 @@
 #include <filbertmount/routing/router.h>
 
+#include "routing/routerservice.h"
 #include "routing/slotwire.h"
 
 #include "peer.pb.h"
@@ -22,51 +23,6 @@
 
 } // namespace
 
-struct Router::Service {
-    Service(const ServiceName &serviceName, ServiceRouterOptions options)
-        : name(serviceName)
-        , router(std::move(options))
-    {
-    }
-
-    struct Waiting {
-        PlacementHandler handler;
-        TeamName team;
-        bool isHedge = false;
-    };
-
-    const ServiceName name;
-    absl::Mutex mutex;
-    ServiceRouter router ABSL_GUARDED_BY(mutex);
-    ServiceRouterOutput output ABSL_GUARDED_BY(mutex);
-    absl::flat_hash_map<std::uint64_t, Waiting> waiting ABSL_GUARDED_BY(mutex);
-    std::uint64_t lastRequest ABSL_GUARDED_BY(mutex) = 0;
-    ServiceRouting routing ABSL_GUARDED_BY(mutex);
-    RetryBudget retries ABSL_GUARDED_BY(mutex){RetrySettings().budgetPercent};
-    RetryBudget hedges ABSL_GUARDED_BY(mutex){HedgingSettings().budgetPercent};
-    HedgePolicy hedgePolicy ABSL_GUARDED_BY(mutex);
-};
-
-/** What is to be done once no lock is held. */
-struct Router::Effects {
-    struct Answer {
-        PlacementHandler handler;
-        PlacementResult result;
-    };
-
-    std::vector<Answer> answers;
-    std::vector<std::pair<InstanceId, Wire::Envelope>> messages;
-
-    void addMessage(const InstanceId &to, Wire::Body body)
-    {
-        const auto known = std::find_if(messages.begin(), messages.end(), [&](const auto &message) {
-            return message.first == to;
-        });
-        Wire::Envelope &envelope = known != messages.end() ? known->second : messages.emplace_back(to, Wire::Envelope()).second;
-        *envelope.add_bodies() = std::move(body);
-    }
-};
-
 ServiceRouting routingOf(const ServiceDocument &document)
 {
     return {.team = document.team,
@@ -346,44 +302,6 @@
     m_admission.finish(team);
 }
 
-void Router::recordPace(const ServiceName &name, const UpstreamId &upstream, double pace)
-{
-    Effects effects;
-    {
-        const absl::ReaderMutexLock lock(&m_mutex);
-        const std::shared_ptr<Service> service = find(name);
-        if (!service) {
-            return;
-        }
-        const absl::MutexLock serviceLock(&service->mutex);
-        if (const auto index = service->router.table().find(upstream.value())) {
-            service->router.recordPace(*index, pace, now(), service->output);
-        }
-        collect(*service, effects);
-    }
-    run(effects);
-}
-
-std::vector<std::pair<ServiceName, RoutedUpstream>> Router::upstreamsToMeasure(const PaceAges &ages) const
-{
-    std::vector<std::pair<ServiceName, RoutedUpstream>> result;
-    const Instant time = now();
-    const absl::ReaderMutexLock lock(&m_mutex);
-    if (m_members.live().size() < 2) {
-        return result;
-    }
-    for (const auto &[name, service] : m_services) {
-        const absl::MutexLock serviceLock(&service->mutex);
-        if (service->router.client().dispatcher() != SelfMember) {
-            continue;
-        }
-        for (const UpstreamIndex index : service->router.upstreamsToMeasure(ages, time)) {
-            result.emplace_back(name, service->router.table().upstream(index));
-        }
-    }
-    return result;
-}
-
 void Router::tick(Instant now)
 {
     Effects effects;
@@ -451,41 +369,4 @@
     }
 }
 
-std::vector<std::pair<ServiceName, InstanceId>> Router::dispatchers() const
-{
-    std::vector<std::pair<ServiceName, InstanceId>> result;
-    const absl::ReaderMutexLock lock(&m_mutex);
-    for (const auto &[name, service] : m_services) {
-        const absl::MutexLock serviceLock(&service->mutex);
-        if (const std::optional<MemberIndex> dispatcher = service->router.client().dispatcher()) {
-            result.emplace_back(name, m_members.id(*dispatcher));
-        }
-    }
-    return result;
-}
-
-RouterStatus Router::status() const
-{
-    RouterStatus result;
-    const absl::ReaderMutexLock lock(&m_mutex);
-    for (const auto &[name, service] : m_services) {
-        const absl::MutexLock serviceLock(&service->mutex);
-        const ServiceRouter &router = service->router;
-        const std::optional<MemberIndex> dispatcher = router.client().dispatcher();
-        ServiceRoutingStatus status{.service = name,
-                                    .dispatcher = dispatcher ? m_members.id(*dispatcher) : InstanceId(),
-                                    .isDispatcher = router.dispatcher().isRunning(),
-                                    .queued = router.dispatcher().queued(),
-                                    .waiting = router.client().waiting(),
-                                    .granted = router.client().grants(),
-                                    .ownChoices = router.client().ownChoices(),
-                                    .meanServiceTime = router.table().meanServiceTime(),
-                                    .upstreams = upstreamStatus(router)};
-        result.services.push_back(std::move(status));
-    }
-    const absl::MutexLock admissionLock(&m_admissionMutex);
-    result.held = m_admission.held();
-    return result;
-}
-
 } // namespace Filbertmount
--- /dev/null
+++ b/src/routing/routerreports.cpp
@@ -0,0 +1,80 @@
+#include "routing/routerservice.h"
+
+namespace Filbertmount {
+
+void Router::recordPace(const ServiceName &name, const UpstreamId &upstream, double pace)
+{
+    Effects effects;
+    {
+        const absl::ReaderMutexLock lock(&m_mutex);
+        const std::shared_ptr<Service> service = find(name);
+        if (!service) {
+            return;
+        }
+        const absl::MutexLock serviceLock(&service->mutex);
+        if (const auto index = service->router.table().find(upstream.value())) {
+            service->router.recordPace(*index, pace, now(), service->output);
+        }
+        collect(*service, effects);
+    }
+    run(effects);
+}
+
+std::vector<std::pair<ServiceName, RoutedUpstream>> Router::upstreamsToMeasure(const PaceAges &ages) const
+{
+    std::vector<std::pair<ServiceName, RoutedUpstream>> result;
+    const Instant time = now();
+    const absl::ReaderMutexLock lock(&m_mutex);
+    if (m_members.live().size() < 2) {
+        return result;
+    }
+    for (const auto &[name, service] : m_services) {
+        const absl::MutexLock serviceLock(&service->mutex);
+        if (service->router.client().dispatcher() != SelfMember) {
+            continue;
+        }
+        for (const UpstreamIndex index : service->router.upstreamsToMeasure(ages, time)) {
+            result.emplace_back(name, service->router.table().upstream(index));
+        }
+    }
+    return result;
+}
+
+std::vector<std::pair<ServiceName, InstanceId>> Router::dispatchers() const
+{
+    std::vector<std::pair<ServiceName, InstanceId>> result;
+    const absl::ReaderMutexLock lock(&m_mutex);
+    for (const auto &[name, service] : m_services) {
+        const absl::MutexLock serviceLock(&service->mutex);
+        if (const std::optional<MemberIndex> dispatcher = service->router.client().dispatcher()) {
+            result.emplace_back(name, m_members.id(*dispatcher));
+        }
+    }
+    return result;
+}
+
+RouterStatus Router::status() const
+{
+    RouterStatus result;
+    const absl::ReaderMutexLock lock(&m_mutex);
+    for (const auto &[name, service] : m_services) {
+        const absl::MutexLock serviceLock(&service->mutex);
+        const ServiceRouter &router = service->router;
+        const std::optional<MemberIndex> dispatcher = router.client().dispatcher();
+        ServiceRoutingStatus status{.service = name,
+                                    .dispatcher = dispatcher ? m_members.id(*dispatcher) : InstanceId(),
+                                    .isDispatcher = router.dispatcher().isRunning(),
+                                    .queued = router.dispatcher().queued(),
+                                    .waiting = router.client().waiting(),
+                                    .granted = router.client().grants(),
+                                    .ownChoices = router.client().ownChoices(),
+                                    .meanServiceTime = router.table().meanServiceTime(),
+                                    .upstreams = upstreamStatus(router)};
+        result.services.push_back(std::move(status));
+    }
+    const absl::MutexLock admissionLock(&m_admissionMutex);
+    result.held = m_admission.held();
+    return result;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/routing/routerservice.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <filbertmount/routing/router.h>
+
+#include "peer.pb.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace Filbertmount {
+
+/** What the router keeps for one service. */
+struct Router::Service {
+    Service(const ServiceName &serviceName, ServiceRouterOptions options)
+        : name(serviceName)
+        , router(std::move(options))
+    {
+    }
+
+    struct Waiting {
+        PlacementHandler handler;
+        TeamName team;
+        bool isHedge = false;
+    };
+
+    const ServiceName name;
+    absl::Mutex mutex;
+    ServiceRouter router ABSL_GUARDED_BY(mutex);
+    ServiceRouterOutput output ABSL_GUARDED_BY(mutex);
+    absl::flat_hash_map<std::uint64_t, Waiting> waiting ABSL_GUARDED_BY(mutex);
+    std::uint64_t lastRequest ABSL_GUARDED_BY(mutex) = 0;
+    ServiceRouting routing ABSL_GUARDED_BY(mutex);
+    RetryBudget retries ABSL_GUARDED_BY(mutex){RetrySettings().budgetPercent};
+    RetryBudget hedges ABSL_GUARDED_BY(mutex){HedgingSettings().budgetPercent};
+    HedgePolicy hedgePolicy ABSL_GUARDED_BY(mutex);
+};
+
+/** What is to be done once no lock is held. */
+struct Router::Effects {
+    struct Answer {
+        PlacementHandler handler;
+        PlacementResult result;
+    };
+
+    std::vector<Answer> answers;
+    std::vector<std::pair<InstanceId, Wire::Envelope>> messages;
+
+    void addMessage(const InstanceId &to, Wire::Body body)
+    {
+        const auto known = std::find_if(messages.begin(), messages.end(), [&](const auto &message) {
+            return message.first == to;
+        });
+        Wire::Envelope &envelope = known != messages.end() ? known->second : messages.emplace_back(to, Wire::Envelope()).second;
+        *envelope.add_bodies() = std::move(body);
+    }
+};
+
+} // namespace Filbertmount
--- a/src/routing/slotwire.cpp
+++ b/src/routing/slotwire.cpp
@@ -1,5 +1,7 @@
 #include "routing/slotwire.h"
 
+#include "peer/wiretime.h"
+
 #include "peer.pb.h"
 
 #include <algorithm>
@@ -9,23 +11,10 @@
 
 namespace {
 
-// An hour, in microseconds, is longer than any deadline; the bound keeps a malformed value from overflowing.
-constexpr std::uint64_t LongestWait = 3'600'000'000;
 // More attempts than connections to one upstream are not possible; the bound keeps malformed counts harmless.
 constexpr std::uint32_t LargestCount = 10'000;
 constexpr double PercentOfUsual = 100.0;
 
-std::uint64_t toMicroseconds(Duration duration)
-{
-    return static_cast<std::uint64_t>(
-        std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(duration).count()));
-}
-
-Duration fromMicroseconds(std::uint64_t microseconds)
-{
-    return std::chrono::microseconds(std::min(microseconds, LongestWait));
-}
-
 class Writer
 {
 public:
