--- a/src/routing/slotclient.cpp
+++ b/src/routing/slotclient.cpp
@@ -230,7 +230,13 @@
         return;
     }
     noteAnswer(pending->second, now);
+    const SlotRequest asked = std::move(pending->second.request);
     m_pending.erase(pending);
+    if (refusal.reason == RefusalReason::NoUpstream) {
+        // A dispatcher that has just started may not have heard of the upstreams that this instance knows.
+        chooseAlone(asked, decisions);
+        return;
+    }
     decisions.refusals.push_back(refusal);
 }
 
--- a/tests/routing/slotclienttest.cpp
+++ b/tests/routing/slotclienttest.cpp
@@ -147,3 +147,22 @@
         CHECK(fixture.decisions.placements[0].grant == NoGrant);
     }
 }
+
+// After a loss of all instances, a dispatcher may be asked before it has heard of the upstreams.
+TEST_CASE("client chooses by itself when the dispatcher knows no upstream")
+{
+    Fixture fixture;
+    fixture.ask(1);
+    fixture.client.handle(
+        Dispatcher, SlotRefusal{.request = 1, .reason = RefusalReason::NoUpstream}, Start + 1ms, fixture.decisions);
+    REQUIRE(fixture.decisions.placements.size() == 1);
+    CHECK(fixture.decisions.placements[0].grant == NoGrant);
+    CHECK(fixture.decisions.refusals.empty());
+
+    fixture.table.update({}, Start + 2ms);
+    fixture.ask(2, Start + 3ms);
+    fixture.client.handle(
+        Dispatcher, SlotRefusal{.request = 2, .reason = RefusalReason::NoUpstream}, Start + 4ms, fixture.decisions);
+    REQUIRE(fixture.decisions.refusals.size() == 1);
+    CHECK(fixture.decisions.refusals[0].reason == RefusalReason::NoUpstream);
+}
