Remove a store call that nobody makes

Cause: read as a newcomer, the deletion of instance entries in the adapter had no caller; entries stay by design (docs/platform.md). Conclusion: the adapter holds the calls that are made.

--- a/include/filbertmount/edge/sharedstate.h
+++ b/include/filbertmount/edge/sharedstate.h
@@ -135,9 +135,6 @@
     {
         protocol.createInstanceRequest(text, instance)
         } -> std::same_as<StoreRequest>;
-    {
-        protocol.deleteInstanceRequest(text, revision)
-        } -> std::same_as<StoreRequest>;
     {
         protocol.readPage(kind, status, text)
         } -> std::same_as<StoreResult<StatePage>>;
