Remove state and accessors of the entry instance that nothing reads

Ruled out: a change of behaviour; what is removed was never read, and the ids are taken under the same conditions as before. Change: those members are gone; the ids are copied only while state is missing. Measured: 46 cases of edge, platform and routes and the release suite without the policy tables pass.

--- a/src/edge/clientconnection.cpp
+++ b/src/edge/clientconnection.cpp
@@ -20,8 +20,7 @@
 } // namespace
 
 ClientConnection::ClientConnection(IoLoop &loop, Tcp::endpoint server)
-    : m_loop(loop)
-    , m_server(std::move(server))
+    : m_server(std::move(server))
     , m_socket(loop)
     , m_timer(loop)
 {
@@ -32,11 +31,6 @@
     return !m_isClosed && !m_isBusy && m_mayReuse && m_isConnected;
 }
 
-bool ClientConnection::isNew() const
-{
-    return !m_wasUsed;
-}
-
 Instant ClientConnection::idleSince() const
 {
     return m_idleSince;
@@ -91,7 +85,6 @@
 
 void ClientConnection::send()
 {
-    m_wasUsed = true;
     m_sentAt = ProcessClock::now();
     m_isSending = true;
     startTimer(m_deadline - m_sentAt, ExchangeEnd::TimedOut, "no whole answer in time");
--- a/src/edge/clientconnection.h
+++ b/src/edge/clientconnection.h
@@ -74,7 +74,6 @@
 
     /** The connection is open and may carry another request. */
     [[nodiscard]] bool isReusable() const;
-    [[nodiscard]] bool isNew() const;
     /** When the last exchange ended. */
     [[nodiscard]] Instant idleSince() const;
     /** How long the server keeps the idle connection; nothing when it did not say. */
@@ -95,7 +94,6 @@
     void startTimer(Duration timeout, ExchangeEnd end, const char *reason);
     void noteKeepAlive(const Headers &headers);
 
-    IoLoop &m_loop;
     Tcp::endpoint m_server;
     Tcp::socket m_socket;
     Asio::steady_timer m_timer;
@@ -113,7 +111,6 @@
     bool m_isBusy = false;
     bool m_mayReuse = true;
     bool m_isSending = false;
-    bool m_wasUsed = false;
 };
 
 } // namespace Filbertmount
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -77,8 +77,7 @@
 } // namespace
 
 EdgeServer::EdgeServer(IoLoop &loop, EdgeSettings settings, HttpDialect dialect)
-    : m_loop(loop)
-    , m_settings(std::move(settings))
+    : m_settings(std::move(settings))
     , m_dialect(std::move(dialect))
     , m_self(selfMember(m_settings))
     , m_fleet(loop, {.cluster = Cluster, .self = m_self, .seeds = seedAddresses(m_settings), .seed = randomSeed()}, m_metrics)
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -51,7 +51,6 @@
     [[nodiscard]] double retryBurst() const;
     [[nodiscard]] double retriesPerSecond() const;
 
-    IoLoop &m_loop;
     EdgeSettings m_settings;
     HttpDialect m_dialect;
     /** Drawn once: every part must know the instance under the same id. */
--- a/src/edge/statespread.cpp
+++ b/src/edge/statespread.cpp
@@ -141,9 +141,12 @@
 
 void StateSpread::pullFromAny(Instant now)
 {
-    const std::vector<InstanceId> members = m_fleet.memberIds();
     for (auto &[kind, state] : m_kinds) {
-        if (m_mirror.revision(kind) || members.size() < 2) {
+        if (m_mirror.revision(kind)) {
+            continue;
+        }
+        const std::vector<InstanceId> members = m_fleet.memberIds();
+        if (members.size() < 2) {
             continue;
         }
         const InstanceId &asked = members[m_nextAsked++ % members.size()];
--- a/src/edge/upstreampool.cpp
+++ b/src/edge/upstreampool.cpp
@@ -43,7 +43,6 @@
     if (!endpoint) {
         return nullptr;
     }
-    ++m_opened;
     return std::make_shared<ClientConnection>(m_loop, *endpoint);
 }
 
@@ -92,9 +91,4 @@
     });
 }
 
-std::uint64_t UpstreamPool::opened() const
-{
-    return m_opened;
-}
-
 } // namespace Filbertmount
--- a/src/edge/upstreampool.h
+++ b/src/edge/upstreampool.h
@@ -30,8 +30,6 @@
     /** Closes connections that the upstream is about to close itself. Call every second or so. */
     void closeExpired(Instant now);
 
-    [[nodiscard]] std::uint64_t opened() const;
-
 private:
     struct Idle {
         std::string address;
@@ -40,7 +38,6 @@
 
     IoLoop &m_loop;
     absl::flat_hash_map<UpstreamId, Idle> m_idle;
-    std::uint64_t m_opened = 0;
 };
 
 } // namespace Filbertmount
