Pace requests for the whole state; ask for the pace of upstreams by their worth

Ruled out: the size of the messages (30 KB) and the reader's link (200 Mbit/s). Change: PullPacing waits while parts arrive and doubles the wait after each request without a result; statements are asked for at 180 a second and service, or 1.5 for each grant.

--- a/include/filbertmount/routing/servicerouter.h
+++ b/include/filbertmount/routing/servicerouter.h
@@ -19,6 +19,10 @@
     double candidatesPerGrant = 1.5;
     Duration candidate = std::chrono::milliseconds(20);
     Duration other = std::chrono::milliseconds(150);
+    /** Statements that are asked for in a second: so many at least, and more with the grants. */
+    double fewestPerSecond = 180;
+    /** Each statement crosses zones, which costs about a hundredth of a request. */
+    double perGrant = 1.5;
 };
 
 struct ServiceRouterOptions {
@@ -66,7 +70,7 @@
     /** A grant of an upstream that is not in the table. */
     void handleUnknownUpstream(MemberIndex from, const SlotGrant &grant, Instant now, ServiceRouterOutput &output);
     /** Usable upstreams whose pace should be asked for, those first that are likely to get the next requests. */
-    [[nodiscard]] std::vector<UpstreamIndex> upstreamsToMeasure(const PaceAges &ages, Instant now) const;
+    [[nodiscard]] std::vector<UpstreamIndex> upstreamsToMeasure(const PaceAges &ages, Instant now);
     /** Takes into account how fast an upstream says that it works. */
     void recordPace(UpstreamIndex index, double pace, Instant now, ServiceRouterOutput &output);
     /** Call every millisecond or few. */
@@ -81,6 +85,7 @@
     /** Upstreams that are likely to be granted before their pace is asked for again. */
     [[nodiscard]] std::size_t candidateCount(const PaceAges &ages) const;
     void updateGrantRate(Instant now);
+    void addMeasureTokens(const PaceAges &ages, Instant now);
     /** Delivers messages of the instance to itself and appends the others to @p output. */
     void flush(Instant now, ServiceRouterOutput &output);
 
@@ -92,6 +97,9 @@
     Instant m_lastAsked{};
     /** Grants per second of this instance's dispatcher, smoothed. */
     double m_grantRate = 0;
+    /** Statements of pace that may be asked for now. */
+    double m_measureTokens = 0;
+    Instant m_measuredAt{};
     std::uint64_t m_grantsCounted = 0;
     Instant m_grantsCountedAt{};
 };
--- a/src/edge/statespread.cpp
+++ b/src/edge/statespread.cpp
@@ -13,7 +13,6 @@
 constexpr std::uint32_t MaxParts = 4096;
 // A digest may be lost; its repetition comes before the receivers count it as missing.
 constexpr Duration DigestRepeat = std::chrono::milliseconds(250);
-constexpr Duration PullInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -206,11 +205,9 @@
 
 void StateSpread::pull(StateKind kind, const InstanceId &from, Instant now)
 {
-    KindState &state = m_kinds.at(kind);
-    if (now - state.lastPull < PullInterval) {
+    if (!m_kinds.at(kind).pulls.take(now)) {
         return;
     }
-    state.lastPull = now;
     Wire::Envelope envelope;
     envelope.add_bodies()->mutable_state_pull()->set_kind(*toWire(kind));
     m_fleet.send(from, std::move(envelope));
@@ -251,6 +248,7 @@
     }
     if (own && digest.hash() == m_mirror.hash(*kind)) {
         m_mirror.confirm(*kind, theirs);
+        m_kinds.at(*kind).pulls.noteComplete();
         m_kinds.at(*kind).election.noteConfirmed(from, now - std::chrono::microseconds(digest.age_us()));
         return;
     }
@@ -310,8 +308,10 @@
     }
     state.parts[push.part()] = std::move(objects);
     if (state.parts.size() < push.parts()) {
+        state.pulls.notePart(ProcessClock::now());
         return;
     }
+    state.pulls.noteComplete();
     std::vector<StateObject> all;
     for (auto &[part, list] : state.parts) {
         std::move(list.begin(), list.end(), std::back_inserter(all));
--- a/src/edge/statespread.h
+++ b/src/edge/statespread.h
@@ -2,6 +2,7 @@
 
 #include "edge/fleet.h"
 
+#include <filbertmount/edge/pullpacing.h>
 #include <filbertmount/edge/readerelection.h>
 #include <filbertmount/edge/statemirror.h>
 #include <filbertmount/routes/routesetdelta.h>
@@ -44,7 +45,7 @@
         std::optional<Instant> confirmed;
         /** When the digest is sent once more, in case it was lost. */
         std::optional<Instant> repeatAt;
-        Instant lastPull{};
+        PullPacing pulls;
         /** Parts of a set of objects that is being received. */
         InstanceId partsFrom;
         std::uint64_t partsRevision = 0;
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -12,6 +12,8 @@
 constexpr Duration GrantCountInterval = std::chrono::milliseconds(100);
 // A burst shows within three intervals.
 constexpr double GrantRateSmoothing = 0.4;
+// Bounds the statements that are asked for at once after a quiet time.
+constexpr Duration LongestMeasurePause = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -92,8 +94,19 @@
     flush(now, output);
 }
 
-std::vector<UpstreamIndex> ServiceRouter::upstreamsToMeasure(const PaceAges &ages, Instant now) const
+void ServiceRouter::addMeasureTokens(const PaceAges &ages, Instant now)
 {
+    const double rate = std::max(ages.fewestPerSecond, ages.perGrant * m_grantRate);
+    const double elapsed =
+        std::chrono::duration<double>(std::clamp<Duration>(now - m_measuredAt, {}, LongestMeasurePause)).count();
+    const double largest = rate * std::chrono::duration<double>(LongestMeasurePause).count();
+    m_measureTokens = std::min(largest, m_measureTokens + rate * elapsed);
+    m_measuredAt = now;
+}
+
+std::vector<UpstreamIndex> ServiceRouter::upstreamsToMeasure(const PaceAges &ages, Instant now)
+{
+    addMeasureTokens(ages, now);
     std::vector<std::pair<double, UpstreamIndex>> byKey;
     for (UpstreamIndex index = 0; index < m_table.size(); ++index) {
         if (m_table.limit(index) > 0) {
@@ -103,12 +116,13 @@
     std::sort(byKey.begin(), byKey.end());
     const std::size_t candidates = candidateCount(ages);
     std::vector<UpstreamIndex> result;
-    for (std::size_t position = 0; position < byKey.size(); ++position) {
+    for (std::size_t position = 0; position < byKey.size() && m_measureTokens >= 1; ++position) {
         const UpstreamIndex index = byKey[position].second;
         const std::optional<Instant> stated = m_table.lastPace(index);
         const Duration largestAge = position < candidates ? ages.candidate : ages.other;
         if (!stated || now - *stated >= largestAge) {
             result.push_back(index);
+            m_measureTokens -= 1;
         }
     }
     return result;
