Run no timer handler after the timer was set again: a sent request was "not sent"

A process that did not run for a while finds a connection made and its timeout passed at the same moment. The connection's handler sends the request and sets the timer anew, but Asio calls the old handler, which waits in the loop's queue already, without an error: the exchange ended as ConnectFailed, so the request counted as not sent, and was refused as not run or sent to another upstream. Ruled out: NotRun answers of upstreams, the deadline's refusal (it asks whether anything was sent) and requests held at a start. Change: OneShotTimer runs nothing that was replaced or cancelled. All timers of the edge that are set again use it: connections to upstreams and to the store, callers' sessions, deadlines, hedges, readers of the store, held requests.

--- a/src/edge/clientconnection.cpp
+++ b/src/edge/clientconnection.cpp
@@ -57,11 +57,8 @@
 
 void ClientConnection::startTimer(Duration timeout, ExchangeEnd end, const char *reason)
 {
-    m_timer.expires_after(std::max(timeout, Duration::zero()));
-    m_timer.async_wait([self = shared_from_this(), end, reason](const error_code &error) {
-        if (!error) {
-            self->finish(end, reason);
-        }
+    m_timer.start(timeout, [self = shared_from_this(), end, reason] {
+        self->finish(end, reason);
     });
 }
 
--- a/src/edge/clientconnection.h
+++ b/src/edge/clientconnection.h
@@ -96,7 +96,7 @@
 
     Tcp::endpoint m_server;
     Tcp::socket m_socket;
-    Asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     ExchangeOptions m_options;
     Handler m_handler;
     std::optional<Parser> m_parser;
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -75,10 +75,9 @@
 
 void ForwardedCall::start()
 {
-    m_deadlineTimer.expires_after(std::max(timeLeft(), Duration::zero()));
-    m_deadlineTimer.async_wait([weak = weak_from_this()](const error_code &error) {
+    m_deadlineTimer.start(timeLeft(), [weak = weak_from_this()] {
         const std::shared_ptr<ForwardedCall> self = weak.lock();
-        if (!error && self) {
+        if (self) {
             self->onDeadline();
         }
     });
@@ -196,10 +195,9 @@
     if (delay >= timeLeft()) {
         return;
     }
-    m_hedgeTimer.expires_after(delay);
-    m_hedgeTimer.async_wait([weak = weak_from_this()](const error_code &error) {
+    m_hedgeTimer.start(delay, [weak = weak_from_this()] {
         const std::shared_ptr<ForwardedCall> self = weak.lock();
-        if (!error && self) {
+        if (self) {
             self->hedge();
         }
     });
--- a/src/edge/forwardedcall.h
+++ b/src/edge/forwardedcall.h
@@ -60,8 +60,8 @@
     CallContext &m_context;
     const RoutedRequest m_request;
     AnswerHandler m_answer;
-    Asio::steady_timer m_deadlineTimer;
-    Asio::steady_timer m_hedgeTimer;
+    OneShotTimer m_deadlineTimer;
+    OneShotTimer m_hedgeTimer;
     const CrashFingerprint m_fingerprint;
     /** Attempts in progress. */
     std::vector<std::shared_ptr<UpstreamAttempt>> m_running;
--- a/src/edge/heldrequests.cpp
+++ b/src/edge/heldrequests.cpp
@@ -61,12 +61,8 @@
 
 void HeldRequests::startTimer()
 {
-    m_timer.expires_at(std::chrono::steady_clock::now()
-                       + std::max(Duration::zero(), m_held.front()->request.arrival + LongestHold - ProcessClock::now()));
-    m_timer.async_wait([this](const error_code &error) {
-        if (!error) {
-            releaseLate();
-        }
+    m_timer.start(m_held.front()->request.arrival + LongestHold - ProcessClock::now(), [this] {
+        releaseLate();
     });
 }
 
--- a/src/edge/heldrequests.h
+++ b/src/edge/heldrequests.h
@@ -45,7 +45,7 @@
     void startTimer();
     static void release(const std::shared_ptr<Held> &held, const Handler &handler);
 
-    Asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     Handler m_onLate;
     std::deque<std::shared_ptr<Held>> m_held;
 };
--- a/src/edge/instanceregistration.h
+++ b/src/edge/instanceregistration.h
@@ -109,11 +109,8 @@
 
     void readLater(Duration delay)
     {
-        m_timer.expires_after(delay);
-        m_timer.async_wait([this](const error_code &cancelled) {
-            if (!cancelled) {
-                list(std::string());
-            }
+        m_timer.start(delay, [this] {
+            list(std::string());
         });
     }
 
@@ -131,7 +128,7 @@
     StoreCallOptions m_options;
     StateMirror &m_mirror;
     ChangeHandler m_onChange;
-    Asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     Duration m_retry;
     std::vector<StateObject> m_listed;
     bool m_hasEntered = false;
--- a/src/edge/ioloop.cpp
+++ b/src/edge/ioloop.cpp
@@ -5,7 +5,9 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace Filbertmount {
 
@@ -53,6 +55,39 @@
     return Tcp::endpoint(ip, parsed->port);
 }
 
+OneShotTimer::OneShotTimer(const Asio::any_io_executor &executor)
+    : m_timer(executor)
+    , m_generation(std::make_shared<std::uint64_t>(0))
+{
+}
+
+OneShotTimer::OneShotTimer(IoLoop &loop)
+    : OneShotTimer(loop.get_executor())
+{
+}
+
+OneShotTimer::~OneShotTimer()
+{
+    cancel();
+}
+
+void OneShotTimer::start(Duration delay, std::function<void()> run)
+{
+    const std::uint64_t generation = ++*m_generation;
+    m_timer.expires_after(std::max(delay, Duration::zero()));
+    m_timer.async_wait([generation, current = m_generation, run = std::move(run)](const error_code &error) {
+        if (!error && *current == generation) {
+            run();
+        }
+    });
+}
+
+void OneShotTimer::cancel()
+{
+    ++*m_generation;
+    m_timer.cancel();
+}
+
 PeriodicTask::PeriodicTask(IoLoop &loop, Duration interval, std::function<void()> run)
     : m_timer(loop)
     , m_interval(interval)
--- a/src/edge/ioloop.h
+++ b/src/edge/ioloop.h
@@ -3,12 +3,15 @@
 #include <filbertmount/types/endpoint.h>
 #include <filbertmount/types/instant.h>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/system/error_code.hpp>
 
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace Filbertmount {
@@ -34,6 +37,29 @@
 /** Parses "IP:port" into an Asio endpoint. */
 std::optional<Tcp::endpoint> toTcpEndpoint(const std::string &address);
 
+/**
+ * Runs a function once after a time. A function that was replaced or cancelled never runs, not even when its time had passed
+ * already: Asio's own timers call a handler that waits in the loop's queue as if nothing had happened since.
+ */
+class OneShotTimer
+{
+public:
+    explicit OneShotTimer(const Asio::any_io_executor &executor);
+    explicit OneShotTimer(IoLoop &loop);
+    ~OneShotTimer();
+    OneShotTimer(const OneShotTimer &) = delete;
+    OneShotTimer &operator=(const OneShotTimer &) = delete;
+
+    /** Replaces a function that has not run yet. */
+    void start(Duration delay, std::function<void()> run);
+    void cancel();
+
+private:
+    Asio::steady_timer m_timer;
+    /** Rises with each start and cancellation; shared with the handlers, which may outlive the timer. */
+    std::shared_ptr<std::uint64_t> m_generation;
+};
+
 /** Runs a function again and again on the loop; stops when destroyed. */
 class PeriodicTask
 {
--- a/src/edge/serversession.cpp
+++ b/src/edge/serversession.cpp
@@ -304,10 +304,9 @@
 {
     const CallerLimits limits = m_handler.limits();
     const bool isReadingRequest = m_parser.has_value();
-    m_timer.expires_after(isReadingRequest ? limits.headerTimeout : limits.idleTimeout);
-    m_timer.async_wait([weak = weak_from_this(), isReadingRequest](const error_code &error) {
+    m_timer.start(isReadingRequest ? limits.headerTimeout : limits.idleTimeout, [weak = weak_from_this(), isReadingRequest] {
         const std::shared_ptr<ServerSession> self = weak.lock();
-        if (error || !self || self->m_isClosed || !self->m_exchanges.empty()) {
+        if (!self || self->m_isClosed || !self->m_exchanges.empty()) {
             return;
         }
         if (isReadingRequest && !self->m_isEnding) {
@@ -334,11 +333,8 @@
     m_isEnding = true;
     error_code ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
-    m_timer.expires_after(LingerTime);
-    m_timer.async_wait([self = shared_from_this()](const error_code &error) {
-        if (!error) {
-            self->close();
-        }
+    m_timer.start(LingerTime, [self = shared_from_this()] {
+        self->close();
     });
     read();
 }
--- a/src/edge/serversession.h
+++ b/src/edge/serversession.h
@@ -125,7 +125,7 @@
 
     RequestHandler &m_handler;
     Tcp::socket m_socket;
-    Asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     std::string m_client;
     std::optional<Parser> m_parser;
     std::string m_received;
--- a/src/edge/storefollower.h
+++ b/src/edge/storefollower.h
@@ -180,12 +180,7 @@
     template<class Action>
     void later(Duration delay, Action action)
     {
-        m_timer.expires_after(delay);
-        m_timer.async_wait([this, action](const error_code &cancelled) {
-            if (!cancelled && m_isRunning) {
-                action();
-            }
-        });
+        m_timer.start(delay, action);
     }
 
     Protocol m_protocol;
@@ -194,7 +189,7 @@
     StoreCalls m_calls;
     StateMirror &m_mirror;
     AnswerHandler m_onAnswer;
-    Asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     Duration m_retry;
     std::vector<StateObject> m_listed;
     Revision m_listedAt;
--- a/tests/edge/clientconnectiontest.cpp
+++ b/tests/edge/clientconnectiontest.cpp
@@ -160,3 +160,26 @@
         return !connection->isReusable();
     }));
 }
+
+// A process that did not run for a while finds the connection made and its timeout passed at the same moment. Such a request
+// was sent and reported as not sent: on a day of the grown Kaya site, four orders were refused as not run, and had run.
+TEST_CASE("client connection: a connection that is made just before its timeout is used and not reported as failed")
+{
+    IoLoop loop;
+    ScriptedServer server(loop, [](ScriptedPeer &peer) {
+        peer.send(answer("1", "body"));
+    });
+    auto connection = std::make_shared<ClientConnection>(loop, server.endpoint());
+    ExchangeOptions options = request("1");
+    options.connectTimeout = 1ms;
+    std::optional<ExchangeResult> result;
+    connection->exchange(std::move(options), [&result](ExchangeResult ended) {
+        result = std::move(ended);
+    });
+    for (const Instant end = ProcessClock::now() + 20ms; ProcessClock::now() < end;) { }
+    REQUIRE(runUntil(loop, [&result] {
+        return result.has_value();
+    }));
+    CHECK(result->end == ExchangeEnd::Answered);
+    connection->close();
+}
