Reserve the list of route sets in a test, as the linter asks

Cause: clang-tidy reports a push_back in a loop without reserved capacity. Change: one reserve call in the test.

--- a/tests/edge/statewiretest.cpp
+++ b/tests/edge/statewiretest.cpp
@@ -111,6 +111,7 @@
     CHECK(std::get<RouteSet>(received[0].value).routes.size() == 23);
 
     std::vector<StateObject> unrelated;
+    unrelated.reserve(versions.size());
     for (const StateChange &change : versions) {
         unrelated.push_back(change.object);
     }
