Give types of the edge, the proxy and the stand-ins names of their own

Cause: the library had two different types Filbertmount::ServerRequest, ServerAnswer, CallContext, ExchangeOptions and StoreFollower, in src/http, src/proxy, src/instance and src/edge, and the stand-ins two types LoadReport. Programs that link both, the tests among them, break the one definition rule: the linker keeps one of two implicit destructors. Found while several sources were compiled in one unit for the linter.

Ruled out: nothing fails for certain today, as most of these functions are inlined.

Change: the blocking server has BlockingRequest and BlockingAnswer, the edge CallEnvironment, ClientExchangeOptions and StateFollower, the upstream stand-in SlotLoad. No behaviour changes.

--- a/src/admin/adminanswers.cpp
+++ b/src/admin/adminanswers.cpp
@@ -42,22 +42,22 @@
 
 } // namespace
 
-ServerAnswer jsonAnswer(const nlohmann::json &json)
+BlockingAnswer jsonAnswer(const nlohmann::json &json)
 {
     return {.body = dumpJson(json) + "\n"};
 }
 
-ServerAnswer problemAnswer(int status, const std::string &detail, const nlohmann::json &more)
+BlockingAnswer problemAnswer(int status, const std::string &detail, const nlohmann::json &more)
 {
     nlohmann::json json{{"status", status}, {"detail", detail}};
     json.update(more);
     return {.status = status, .contentType = "application/problem+json", .body = dumpJson(json) + "\n"};
 }
 
-ServerAnswer editAnswer(const DocumentEdit &edit, const EditReply &reply)
+BlockingAnswer editAnswer(const DocumentEdit &edit, const EditReply &reply)
 {
     if (reply.outcome == EditOutcome::Accepted) {
-        ServerAnswer answer =
+        BlockingAnswer answer =
             jsonAnswer({{"service", edit.service.value()}, {"revision", reply.revision.value()}, {"change_id", edit.changeId}});
         answer.headers.emplace_back("ETag", etagOf(reply.revision));
         return answer;
@@ -73,7 +73,7 @@
     return problemAnswer(statusOf(reply.outcome), "the change had no effect: " + reply.reason, more);
 }
 
-std::optional<Revision> expectedRevision(const ServerRequest &request)
+std::optional<Revision> expectedRevision(const BlockingRequest &request)
 {
     const std::string match = request.header("if-match");
     const std::string noneMatch = request.header("if-none-match");
@@ -86,17 +86,17 @@
     return parseEtag(match);
 }
 
-std::optional<ServerAnswer> refuseDocument(const std::string &text, const std::string &fileName)
+std::optional<BlockingAnswer> refuseDocument(const std::string &text, const std::string &fileName)
 {
     return boost::leaf::try_handle_all(
-        [&]() -> Result<std::optional<ServerAnswer>> {
+        [&]() -> Result<std::optional<BlockingAnswer>> {
             BOOST_LEAF_CHECK(parseServiceDocument(text, fileName));
-            return std::optional<ServerAnswer>();
+            return std::optional<BlockingAnswer>();
         },
-        [](const Failure &failure, const ConfigIssues &issues) -> std::optional<ServerAnswer> {
+        [](const Failure &failure, const ConfigIssues &issues) -> std::optional<BlockingAnswer> {
             return problemAnswer(HttpUnprocessable, failure.reason, {{"issues", toJson(issues)}});
         },
-        []() -> std::optional<ServerAnswer> {
+        []() -> std::optional<BlockingAnswer> {
             return problemAnswer(HttpUnprocessable, "the document cannot be parsed");
         });
 }
--- a/src/admin/adminhandler.cpp
+++ b/src/admin/adminhandler.cpp
@@ -28,15 +28,15 @@
 const std::string ServicesPath = "/v1/services";
 constexpr std::size_t MaxAuthorLength = 100;
 
-ServerAnswer methodNotAllowed(const std::string &allowed)
+BlockingAnswer methodNotAllowed(const std::string &allowed)
 {
-    ServerAnswer answer = problemAnswer(HttpMethodNotAllowed, "the method must be one of: " + allowed);
+    BlockingAnswer answer = problemAnswer(HttpMethodNotAllowed, "the method must be one of: " + allowed);
     answer.headers.emplace_back("Allow", allowed);
     return answer;
 }
 
 // A name for the history only; the token decides what may be changed.
-std::string authorOf(const ServerRequest &request, const TeamName &team)
+std::string authorOf(const BlockingRequest &request, const TeamName &team)
 {
     const std::string author = request.header("filbertmount-author").substr(0, MaxAuthorLength);
     return author.empty() ? team.value() : author;
@@ -76,7 +76,7 @@
     m_tokens.setTeams(std::move(teams));
 }
 
-ServerAnswer AdminHandler::handle(const ServerRequest &request) const
+BlockingAnswer AdminHandler::handle(const BlockingRequest &request) const
 {
     if (request.path == "/healthz") {
         return jsonAnswer({{"instance", m_sources.instance.value()}});
@@ -89,14 +89,14 @@
     }
     const std::optional<TeamName> team = m_tokens.teamOf(request.header("authorization"));
     if (!team) {
-        ServerAnswer answer = problemAnswer(HttpUnauthorized, "expected \"Authorization: Bearer\" with the token of a team");
+        BlockingAnswer answer = problemAnswer(HttpUnauthorized, "expected \"Authorization: Bearer\" with the token of a team");
         answer.headers.emplace_back("WWW-Authenticate", "Bearer");
         return answer;
     }
     return handleTeamRequest(request, *team);
 }
 
-ServerAnswer AdminHandler::handleTeamRequest(const ServerRequest &request, const TeamName &team) const
+BlockingAnswer AdminHandler::handleTeamRequest(const BlockingRequest &request, const TeamName &team) const
 {
     if (request.path == "/v1/validate") {
         return request.method == "POST" ? validate(request) : methodNotAllowed("POST");
@@ -114,7 +114,7 @@
     return list ? listServices() : timeline(request);
 }
 
-ServerAnswer AdminHandler::handleService(const ServerRequest &request, const TeamName &team, const std::string &rest) const
+BlockingAnswer AdminHandler::handleService(const BlockingRequest &request, const TeamName &team, const std::string &rest) const
 {
     const std::size_t slash = rest.find('/');
     const ServiceName service(rest.substr(0, slash));
@@ -131,7 +131,7 @@
     return changeDocument(request, team, service);
 }
 
-ServerAnswer AdminHandler::readiness() const
+BlockingAnswer AdminHandler::readiness() const
 {
     const ReadinessReport report = m_sources.readiness();
     if (!report.ready) {
@@ -140,7 +140,7 @@
     return jsonAnswer({{"instance", m_sources.instance.value()}});
 }
 
-ServerAnswer AdminHandler::listServices() const
+BlockingAnswer AdminHandler::listServices() const
 {
     nlohmann::json json{{"instance", m_sources.instance.value()}, {"services", nlohmann::json::array()}};
     for (const DocumentReport &report : m_sources.documents()) {
@@ -149,7 +149,7 @@
     return jsonAnswer(json);
 }
 
-ServerAnswer AdminHandler::timeline(const ServerRequest &request) const
+BlockingAnswer AdminHandler::timeline(const BlockingRequest &request) const
 {
     std::uint64_t after = 0;
     const std::string text = request.parameter("after");
@@ -167,16 +167,16 @@
     return jsonAnswer(json);
 }
 
-ServerAnswer AdminHandler::validate(const ServerRequest &request) const
+BlockingAnswer AdminHandler::validate(const BlockingRequest &request) const
 {
     const std::string name = request.parameter("file");
-    if (std::optional<ServerAnswer> refusal = refuseDocument(request.body, name.empty() ? "document" : name)) {
+    if (std::optional<BlockingAnswer> refusal = refuseDocument(request.body, name.empty() ? "document" : name)) {
         return *std::move(refusal);
     }
     return jsonAnswer({{"valid", true}});
 }
 
-ServerAnswer AdminHandler::readDocument(const ServiceName &service) const
+BlockingAnswer AdminHandler::readDocument(const ServiceName &service) const
 {
     if (!m_sources.readStored) {
         return readCachedDocument(service, "there is no store");
@@ -189,16 +189,16 @@
         return readCachedDocument(service, reply.reason);
     }
     return boost::leaf::try_handle_all(
-        [&]() -> Result<ServerAnswer> {
+        [&]() -> Result<BlockingAnswer> {
             BOOST_LEAF_AUTO(value, decodeDocumentValue(reply.object.value, reply.object.key));
             if (value.deleted) {
                 return problemAnswer(HttpNotFound, "the document was deleted by " + value.author);
             }
-            ServerAnswer answer = jsonAnswer({{"service", service.value()},
-                                              {"revision", reply.object.revision.value()},
-                                              {"team", value.team.value()},
-                                              {"author", value.author},
-                                              {"document", value.document}});
+            BlockingAnswer answer = jsonAnswer({{"service", service.value()},
+                                                {"revision", reply.object.revision.value()},
+                                                {"team", value.team.value()},
+                                                {"author", value.author},
+                                                {"document", value.document}});
             answer.headers.emplace_back("ETag", etagOf(reply.object.revision));
             answer.headers.emplace_back("Filbertmount-Source", "store");
             return answer;
@@ -211,7 +211,7 @@
         });
 }
 
-ServerAnswer AdminHandler::readCachedDocument(const ServiceName &service, const std::string &reason) const
+BlockingAnswer AdminHandler::readCachedDocument(const ServiceName &service, const std::string &reason) const
 {
     const std::vector<DocumentReport> documents = m_sources.documents();
     const auto found = std::find_if(documents.begin(), documents.end(), [&](const DocumentReport &report) {
@@ -222,13 +222,13 @@
     }
     nlohmann::json json = toJson(*found);
     json["document"] = found->text;
-    ServerAnswer answer = jsonAnswer(json);
+    BlockingAnswer answer = jsonAnswer(json);
     answer.headers.emplace_back("ETag", etagOf(found->revision));
     answer.headers.emplace_back("Filbertmount-Source", "cache");
     return answer;
 }
 
-ServerAnswer AdminHandler::history(const ServiceName &service) const
+BlockingAnswer AdminHandler::history(const ServiceName &service) const
 {
     if (!m_sources.readStored) {
         return problemAnswer(HttpUnavailable, "there is no store");
@@ -241,7 +241,7 @@
         return problemAnswer(HttpUnavailable, reply.reason);
     }
     return boost::leaf::try_handle_all(
-        [&]() -> Result<ServerAnswer> {
+        [&]() -> Result<BlockingAnswer> {
             BOOST_LEAF_AUTO(value, decodeDocumentValue(reply.object.value, reply.object.key));
             return jsonAnswer({{"service", service.value()}, {"changes", historyJson(value, reply.object.revision)}});
         },
@@ -253,7 +253,7 @@
         });
 }
 
-ServerAnswer AdminHandler::status(const ServiceName &service) const
+BlockingAnswer AdminHandler::status(const ServiceName &service) const
 {
     nlohmann::json json{{"instance", m_sources.instance.value()}, {"members", nlohmann::json::array()}};
     for (const MemberReport &member : m_sources.members()) {
@@ -267,7 +267,8 @@
     return jsonAnswer(json);
 }
 
-ServerAnswer AdminHandler::changeDocument(const ServerRequest &request, const TeamName &team, const ServiceName &service) const
+BlockingAnswer
+AdminHandler::changeDocument(const BlockingRequest &request, const TeamName &team, const ServiceName &service) const
 {
     const std::optional<Revision> expected = expectedRevision(request);
     const bool deleted = request.method == "DELETE";
@@ -277,7 +278,7 @@
                              "for a new document");
     }
     if (!deleted) {
-        if (std::optional<ServerAnswer> refusal = refuseDocument(request.body, service.value() + ".toml")) {
+        if (std::optional<BlockingAnswer> refusal = refuseDocument(request.body, service.value() + ".toml")) {
             return *std::move(refusal);
         }
         const std::string reason = mismatch(request.body, service, team);
@@ -295,7 +296,7 @@
                       .changeId = randomChangeId()});
 }
 
-ServerAnswer AdminHandler::applyEdit(const DocumentEdit &edit) const
+BlockingAnswer AdminHandler::applyEdit(const DocumentEdit &edit) const
 {
     if (!m_sources.edit) {
         return problemAnswer(HttpUnavailable, "the change had no effect: there is no store");
--- a/src/admin/adminhandler.h
+++ b/src/admin/adminhandler.h
@@ -17,22 +17,23 @@
     AdminHandler(std::vector<TeamSettings> teams, AdminSources sources);
 
     void setTeams(std::vector<TeamSettings> teams);
-    [[nodiscard]] ServerAnswer handle(const ServerRequest &request) const;
+    [[nodiscard]] BlockingAnswer handle(const BlockingRequest &request) const;
 
 private:
-    [[nodiscard]] ServerAnswer handleTeamRequest(const ServerRequest &request, const TeamName &team) const;
-    [[nodiscard]] ServerAnswer handleService(const ServerRequest &request, const TeamName &team, const std::string &rest) const;
-    [[nodiscard]] ServerAnswer readiness() const;
-    [[nodiscard]] ServerAnswer listServices() const;
-    [[nodiscard]] ServerAnswer timeline(const ServerRequest &request) const;
-    [[nodiscard]] ServerAnswer validate(const ServerRequest &request) const;
-    [[nodiscard]] ServerAnswer readDocument(const ServiceName &service) const;
-    [[nodiscard]] ServerAnswer readCachedDocument(const ServiceName &service, const std::string &reason) const;
-    [[nodiscard]] ServerAnswer history(const ServiceName &service) const;
-    [[nodiscard]] ServerAnswer status(const ServiceName &service) const;
-    [[nodiscard]] ServerAnswer
-    changeDocument(const ServerRequest &request, const TeamName &team, const ServiceName &service) const;
-    [[nodiscard]] ServerAnswer applyEdit(const DocumentEdit &edit) const;
+    [[nodiscard]] BlockingAnswer handleTeamRequest(const BlockingRequest &request, const TeamName &team) const;
+    [[nodiscard]] BlockingAnswer
+    handleService(const BlockingRequest &request, const TeamName &team, const std::string &rest) const;
+    [[nodiscard]] BlockingAnswer readiness() const;
+    [[nodiscard]] BlockingAnswer listServices() const;
+    [[nodiscard]] BlockingAnswer timeline(const BlockingRequest &request) const;
+    [[nodiscard]] BlockingAnswer validate(const BlockingRequest &request) const;
+    [[nodiscard]] BlockingAnswer readDocument(const ServiceName &service) const;
+    [[nodiscard]] BlockingAnswer readCachedDocument(const ServiceName &service, const std::string &reason) const;
+    [[nodiscard]] BlockingAnswer history(const ServiceName &service) const;
+    [[nodiscard]] BlockingAnswer status(const ServiceName &service) const;
+    [[nodiscard]] BlockingAnswer
+    changeDocument(const BlockingRequest &request, const TeamName &team, const ServiceName &service) const;
+    [[nodiscard]] BlockingAnswer applyEdit(const DocumentEdit &edit) const;
 
     TokenTable m_tokens;
     AdminSources m_sources;
--- a/src/admin/adminport.cpp
+++ b/src/admin/adminport.cpp
@@ -18,7 +18,7 @@
     : m_handler(std::make_unique<AdminHandler>(std::move(teams), std::move(sources)))
     , m_server(std::make_unique<BlockingServer>(
           BlockingServerOptions{.address = address, .maxBodyBytes = MaxDocumentBytes, .maxConnections = MaxConnections},
-          [this](const ServerRequest &request) {
+          [this](const BlockingRequest &request) {
               return m_handler->handle(request);
           }))
 {
--- a/src/edge/callcontext.h
+++ b/src/edge/callenvironment.h
@@ -17,7 +17,7 @@
 namespace Filbertmount {
 
 /** What calls share; all of it outlives them. */
-struct CallContext {
+struct CallEnvironment {
     IoLoop &loop;
     const HttpDialect &dialect;
     Router &router;
--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-CallerHandler::CallerHandler(CallContext &context, std::uint64_t seed)
+CallerHandler::CallerHandler(CallEnvironment &context, std::uint64_t seed)
     : m_context(context)
     , m_split(seed)
     , m_held(context.loop, [this](ServerRequest request, AnswerHandler answer) {
--- a/src/edge/callerhandler.h
+++ b/src/edge/callerhandler.h
@@ -14,7 +14,7 @@
 class CallerHandler : public RequestHandler
 {
 public:
-    CallerHandler(CallContext &context, std::uint64_t seed);
+    CallerHandler(CallEnvironment &context, std::uint64_t seed);
 
     /** Requests that arrive from now on follow @p routes. */
     void setRoutes(std::shared_ptr<const RouteIndex> routes);
@@ -35,7 +35,7 @@
     [[nodiscard]] Instant objectiveOf(const ServerRequest &request, const ForwardRoute &route) const;
     [[nodiscard]] Priority priorityOf(const ForwardRoute &route, const ServiceName &service) const;
 
-    CallContext &m_context;
+    CallEnvironment &m_context;
     std::shared_ptr<const RouteIndex> m_routes;
     /** Rank of the most urgent routes of each service. */
     absl::flat_hash_map<ServiceName, int> m_urgentRank;
--- a/src/edge/clientconnection.cpp
+++ b/src/edge/clientconnection.cpp
@@ -41,7 +41,7 @@
     return m_serverIdleTimeout;
 }
 
-void ClientConnection::exchange(ExchangeOptions options, Handler handler)
+void ClientConnection::exchange(ClientExchangeOptions options, Handler handler)
 {
     m_options = std::move(options);
     m_handler = std::move(handler);
--- a/src/edge/clientconnection.h
+++ b/src/edge/clientconnection.h
@@ -43,7 +43,7 @@
     Duration elapsed{0};
 };
 
-struct ExchangeOptions {
+struct ClientExchangeOptions {
     /** The whole request as it is sent. */
     std::string request;
     bool isHead = false;
@@ -68,7 +68,7 @@
     ClientConnection(IoLoop &loop, Tcp::endpoint server);
 
     /** Connects if needed and sends the request. Only one exchange at a time. */
-    void exchange(ExchangeOptions options, Handler handler);
+    void exchange(ClientExchangeOptions options, Handler handler);
     /** Ends the connection at once; the handler of a running exchange is dropped without a call. */
     void close();
 
@@ -97,7 +97,7 @@
     Tcp::endpoint m_server;
     Tcp::socket m_socket;
     OneShotTimer m_timer;
-    ExchangeOptions m_options;
+    ClientExchangeOptions m_options;
     Handler m_handler;
     std::optional<Parser> m_parser;
     std::string m_received;
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -67,7 +67,7 @@
     CrashCheck m_crashCheck;
     RouteTimes m_times;
     ProbeLoop m_probes;
-    CallContext m_context;
+    CallEnvironment m_context;
     CallerHandler m_handler;
     ServiceHandler m_readiness;
     ServiceHandler m_exposition;
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -58,7 +58,7 @@
 
 } // namespace
 
-ForwardedCall::ForwardedCall(CallContext &context, RoutedRequest request, AnswerHandler answer)
+ForwardedCall::ForwardedCall(CallEnvironment &context, RoutedRequest request, AnswerHandler answer)
     : m_context(context)
     , m_request(std::move(request))
     , m_answer(std::move(answer))
--- a/src/edge/forwardedcall.h
+++ b/src/edge/forwardedcall.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "edge/callcontext.h"
+#include "edge/callenvironment.h"
 #include "edge/upstreamattempt.h"
 
 #include <memory>
@@ -20,7 +20,7 @@
 class ForwardedCall : public ActiveRequest, public std::enable_shared_from_this<ForwardedCall>
 {
 public:
-    ForwardedCall(CallContext &context, RoutedRequest request, AnswerHandler answer);
+    ForwardedCall(CallEnvironment &context, RoutedRequest request, AnswerHandler answer);
 
     void start();
     void abandon() override;
@@ -57,7 +57,7 @@
     void logAnswer(int status, const std::string &outcome, const std::string &reason, Duration elapsed) const;
     [[nodiscard]] Duration timeLeft() const;
 
-    CallContext &m_context;
+    CallEnvironment &m_context;
     const RoutedRequest m_request;
     AnswerHandler m_answer;
     OneShotTimer m_deadlineTimer;
--- a/src/edge/probeloop.cpp
+++ b/src/edge/probeloop.cpp
@@ -65,9 +65,9 @@
         return;
     }
     m_running.insert(upstream.id);
-    ExchangeOptions options{.request = "GET " + path + " HTTP/1.1\r\nHost: " + upstream.address + "\r\n\r\n",
-                            .timeout = m_options.timeout,
-                            .connectTimeout = m_options.timeout};
+    ClientExchangeOptions options{.request = "GET " + path + " HTTP/1.1\r\nHost: " + upstream.address + "\r\n\r\n",
+                                  .timeout = m_options.timeout,
+                                  .connectTimeout = m_options.timeout};
     // The pointer is read before the call that it is moved into.
     ClientConnection &target = *connection;
     target.exchange(std::move(options), [this, service, upstream, kept = std::move(connection)](const ExchangeResult &result) {
--- a/src/edge/storefollower.h
+++ b/src/edge/statefollower.h
@@ -16,13 +16,13 @@
  * every failure and when the history is gone. Lives on the IoLoop.
  */
 template<StoreProtocol Protocol>
-class StoreFollower
+class StateFollower
 {
 public:
     /** Gets each answer of the store: the revision that was known before, and what changed. */
     using AnswerHandler = std::function<void(StateKind, std::optional<Revision> before, const MirrorChanges &)>;
 
-    StoreFollower(IoLoop &loop,
+    StateFollower(IoLoop &loop,
                   Protocol protocol,
                   StateKind kind,
                   StoreCallOptions options,
--- a/src/edge/stateservice.h
+++ b/src/edge/stateservice.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "edge/instanceregistration.h"
+#include "edge/statefollower.h"
 #include "edge/statespread.h"
-#include "edge/storefollower.h"
 
 #include <string>
 
@@ -58,7 +58,7 @@
 private:
     static constexpr Duration DecisionInterval = std::chrono::milliseconds(40);
 
-    typename StoreFollower<Protocol>::AnswerHandler answerHandler()
+    typename StateFollower<Protocol>::AnswerHandler answerHandler()
     {
         return [this](StateKind kind, std::optional<Revision> before, const MirrorChanges &changes) {
             m_onChange(changes);
@@ -74,7 +74,7 @@
         follow(m_upstreams, m_spread.shouldRead(StateKind::Upstreams, now), StateKind::Upstreams);
     }
 
-    void follow(StoreFollower<Protocol> &follower, bool shouldRead, StateKind kind)
+    void follow(StateFollower<Protocol> &follower, bool shouldRead, StateKind kind)
     {
         if (follower.isRunning() == shouldRead) {
             return;
@@ -91,8 +91,8 @@
 
     StateSpread &m_spread;
     ChangeHandler m_onChange;
-    StoreFollower<Protocol> m_routes;
-    StoreFollower<Protocol> m_upstreams;
+    StateFollower<Protocol> m_routes;
+    StateFollower<Protocol> m_upstreams;
     InstanceRegistration<Protocol> m_instances;
     PeriodicTask m_ticker;
 };
--- a/src/edge/upstreamattempt.cpp
+++ b/src/edge/upstreamattempt.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-UpstreamAttempt::UpstreamAttempt(CallContext &context,
+UpstreamAttempt::UpstreamAttempt(CallEnvironment &context,
                                  const RoutedRequest &request,
                                  Placement placement,
                                  CrashTicket ticket,
--- a/src/edge/upstreamattempt.h
+++ b/src/edge/upstreamattempt.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "edge/callcontext.h"
+#include "edge/callenvironment.h"
 
 #include <filbertmount/edge/attemptverdict.h>
 
@@ -18,7 +18,7 @@
     using Handler = std::function<void(const std::shared_ptr<UpstreamAttempt> &, AttemptEnd, ExchangeResult)>;
 
     /** Takes over @p placement and @p ticket, which end with the attempt. @p request outlives the attempt. */
-    UpstreamAttempt(CallContext &context, const RoutedRequest &request, Placement placement, CrashTicket ticket, int number);
+    UpstreamAttempt(CallEnvironment &context, const RoutedRequest &request, Placement placement, CrashTicket ticket, int number);
 
     void send(Handler handler);
     /** Closes the connection, by which the upstream learns that no answer is wanted; the handler is not called. */
@@ -39,7 +39,7 @@
     void release(AttemptOutcome outcome, Duration elapsed, const std::optional<UpstreamLoad> &load);
     void logFailure(AttemptEnd end, const ExchangeResult &result) const;
 
-    CallContext &m_context;
+    CallEnvironment &m_context;
     const RoutedRequest &m_request;
     const Placement m_placement;
     const CrashTicket m_ticket;
--- a/src/http/blockingserver.cpp
+++ b/src/http/blockingserver.cpp
@@ -33,7 +33,7 @@
     return MHD_YES;
 }
 
-MHD_Result send(MHD_Connection *connection, const ServerAnswer &answer)
+MHD_Result send(MHD_Connection *connection, const BlockingAnswer &answer)
 {
     if (answer.drop) {
         return MHD_NO;
@@ -63,11 +63,11 @@
 
 /** A request in the course of being received. */
 struct IncomingRequest {
-    ServerRequest request;
+    BlockingRequest request;
     std::size_t received = 0;
 };
 
-ServerAnswer tooLarge()
+BlockingAnswer tooLarge()
 {
     return {.status = HttpTooLarge, .contentType = "text/plain", .body = "the body is too large\n"};
 }
@@ -91,7 +91,7 @@
         return MHD_YES;
     }
     auto *incoming = static_cast<IncomingRequest *>(*state);
-    ServerRequest *request = &incoming->request;
+    BlockingRequest *request = &incoming->request;
     if (*size > 0) {
         // The rest of a body that is too large is discarded: closing before its end would reset the connection, and the
         // client could lose the response.
@@ -135,13 +135,13 @@
 
 } // namespace
 
-std::string ServerRequest::header(const std::string &lowerCaseName) const
+std::string BlockingRequest::header(const std::string &lowerCaseName) const
 {
     const auto found = headers.find(lowerCaseName);
     return found == headers.end() ? std::string() : found->second;
 }
 
-std::string ServerRequest::parameter(const std::string &name) const
+std::string BlockingRequest::parameter(const std::string &name) const
 {
     const auto found = query.find(name);
     return found == query.end() ? std::string() : found->second;
@@ -213,7 +213,7 @@
     return m_options;
 }
 
-ServerAnswer BlockingServer::answer(const ServerRequest &request) const
+BlockingAnswer BlockingServer::answer(const BlockingRequest &request) const
 {
     try {
         return m_handler(request);
--- a/src/http/blockingserver.h
+++ b/src/http/blockingserver.h
@@ -15,7 +15,7 @@
 namespace Filbertmount {
 
 /** A complete request. */
-struct ServerRequest {
+struct BlockingRequest {
     std::string method;
     /** Path with percent encoding removed. */
     std::string path;
@@ -29,7 +29,7 @@
     [[nodiscard]] std::string parameter(const std::string &name) const;
 };
 
-struct ServerAnswer {
+struct BlockingAnswer {
     int status = 200;
     std::string contentType = "application/json";
     std::string body;
@@ -55,7 +55,7 @@
 {
 public:
     /** Runs on several threads at once. An exception becomes status 500. */
-    using Handler = std::function<ServerAnswer(const ServerRequest &)>;
+    using Handler = std::function<BlockingAnswer(const BlockingRequest &)>;
 
     BlockingServer(BlockingServerOptions options, Handler handler);
     ~BlockingServer();
@@ -70,7 +70,7 @@
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] const BlockingServerOptions &options() const;
     /** Runs the handler; used by the connection threads. */
-    [[nodiscard]] ServerAnswer answer(const ServerRequest &request) const;
+    [[nodiscard]] BlockingAnswer answer(const BlockingRequest &request) const;
 
 private:
     struct DaemonDeleter {
--- a/standins/platform/platformserver.cpp
+++ b/standins/platform/platformserver.cpp
@@ -13,7 +13,7 @@
 constexpr unsigned MaxConnections = 400;
 const std::string ObjectsPath = "/objects/";
 
-ServerAnswer plain(int status, const std::string &text)
+BlockingAnswer plain(int status, const std::string &text)
 {
     return {.status = status, .contentType = "text/plain", .body = text + "\n"};
 }
@@ -23,7 +23,7 @@
     return "\"" + std::to_string(revision.value()) + "\"";
 }
 
-ServerAnswer listingAnswer(const StoreListing &listing)
+BlockingAnswer listingAnswer(const StoreListing &listing)
 {
     nlohmann::json json{{"revision", listing.revision.value()}, {"objects", nlohmann::json::array()}};
     for (const StoreObject &object : listing.objects) {
@@ -39,7 +39,7 @@
     return absl::SimpleAtoi(text, &value) ? std::optional(value) : std::nullopt;
 }
 
-std::string operationOf(const ServerRequest &request)
+std::string operationOf(const BlockingRequest &request)
 {
     if (request.path == "/watch") {
         return "watch";
@@ -59,7 +59,7 @@
     std::optional<Revision> expected;
 };
 
-Condition conditionOf(const ServerRequest &request)
+Condition conditionOf(const BlockingRequest &request)
 {
     if (request.header("if-none-match") == "*") {
         return {.expected = AbsentRevision};
@@ -97,7 +97,7 @@
 
 PlatformServer::PlatformServer(Endpoint address)
     : m_server({.address = std::move(address), .maxBodyBytes = MaxValueBytes, .maxConnections = MaxConnections},
-               [this](const ServerRequest &request) {
+               [this](const BlockingRequest &request) {
                    return handle(request);
                })
 {
@@ -144,7 +144,7 @@
     return m_faults;
 }
 
-ServerAnswer PlatformServer::handle(const ServerRequest &request)
+BlockingAnswer PlatformServer::handle(const BlockingRequest &request)
 {
     if (request.path == "/faults" || request.path == "/counters") {
         return control(request);
@@ -155,7 +155,7 @@
     return handlePlatformCall(request);
 }
 
-ServerAnswer PlatformServer::handlePlatformCall(const ServerRequest &request)
+BlockingAnswer PlatformServer::handlePlatformCall(const BlockingRequest &request)
 {
     m_faults.count(operationOf(request));
     const Faults faults = m_faults.faults();
@@ -166,14 +166,14 @@
         return {.drop = true};
     }
     if (faults.down) {
-        ServerAnswer answer = plain(503, "the store is down");
+        BlockingAnswer answer = plain(503, "the store is down");
         answer.headers.emplace_back("Request-Not-Run", "shedding");
         return answer;
     }
     return dispatch(request);
 }
 
-ServerAnswer PlatformServer::dispatch(const ServerRequest &request)
+BlockingAnswer PlatformServer::dispatch(const BlockingRequest &request)
 {
     const bool object = absl::StartsWith(request.path, ObjectsPath) && request.path.size() > ObjectsPath.size();
     if (object && request.method == "PUT") {
@@ -197,7 +197,7 @@
     return plain(404, "unknown path");
 }
 
-ServerAnswer PlatformServer::readObject(const std::string &key)
+BlockingAnswer PlatformServer::readObject(const std::string &key)
 {
     const std::optional<StoreObject> object = m_objects.read(key);
     if (!object) {
@@ -206,7 +206,7 @@
     return {.contentType = "application/octet-stream", .body = object->value, .headers = {{"ETag", etag(object->revision)}}};
 }
 
-ServerAnswer PlatformServer::writeObject(const std::string &key, const ServerRequest &request)
+BlockingAnswer PlatformServer::writeObject(const std::string &key, const BlockingRequest &request)
 {
     const Condition condition = conditionOf(request);
     if (!condition.valid) {
@@ -222,7 +222,7 @@
     return {.body = "{}", .headers = {{"ETag", etag(*revision)}}};
 }
 
-ServerAnswer PlatformServer::watch(const ServerRequest &request)
+BlockingAnswer PlatformServer::watch(const BlockingRequest &request)
 {
     const auto after = number(request.parameter("after"));
     const auto waitMs = number(request.parameter("wait_ms"));
@@ -233,7 +233,7 @@
     return listingAnswer(m_objects.waitForChanges(request.parameter("prefix"), Revision(*after), wait));
 }
 
-ServerAnswer PlatformServer::setInstances(const ServerRequest &request)
+BlockingAnswer PlatformServer::setInstances(const BlockingRequest &request)
 {
     if (!nlohmann::json::accept(request.body) || request.parameter("service").empty()) {
         return plain(400, "expected a service and a JSON body");
@@ -242,7 +242,7 @@
     return {.body = "{}"};
 }
 
-ServerAnswer PlatformServer::control(const ServerRequest &request)
+BlockingAnswer PlatformServer::control(const BlockingRequest &request)
 {
     if (request.path == "/counters") {
         if (request.method == "DELETE") {
--- a/standins/platform/platformserver.h
+++ b/standins/platform/platformserver.h
@@ -35,14 +35,14 @@
     FaultSwitches &faults();
 
 private:
-    ServerAnswer handle(const ServerRequest &request);
-    ServerAnswer handlePlatformCall(const ServerRequest &request);
-    ServerAnswer dispatch(const ServerRequest &request);
-    ServerAnswer readObject(const std::string &key);
-    ServerAnswer writeObject(const std::string &key, const ServerRequest &request);
-    ServerAnswer watch(const ServerRequest &request);
-    ServerAnswer setInstances(const ServerRequest &request);
-    ServerAnswer control(const ServerRequest &request);
+    BlockingAnswer handle(const BlockingRequest &request);
+    BlockingAnswer handlePlatformCall(const BlockingRequest &request);
+    BlockingAnswer dispatch(const BlockingRequest &request);
+    BlockingAnswer readObject(const std::string &key);
+    BlockingAnswer writeObject(const std::string &key, const BlockingRequest &request);
+    BlockingAnswer watch(const BlockingRequest &request);
+    BlockingAnswer setInstances(const BlockingRequest &request);
+    BlockingAnswer control(const BlockingRequest &request);
 
     ObjectTable m_objects;
     InstanceTable m_instances;
--- a/standins/upstream/slotqueue.cpp
+++ b/standins/upstream/slotqueue.cpp
@@ -62,11 +62,11 @@
     m_mutex.Await(absl::Condition(&idle));
 }
 
-LoadReport SlotQueue::laggedReport()
+SlotLoad SlotQueue::laggedReport()
 {
     const absl::MutexLock lock(&m_mutex);
     const Instant seenAt = ProcessClock::now() - m_options.reportLag;
-    LoadReport report{.slots = m_options.slots};
+    SlotLoad report{.slots = m_options.slots};
     for (const auto &[time, load] : m_loadHistory) {
         if (time > seenAt) {
             break;
--- a/standins/upstream/slotqueue.h
+++ b/standins/upstream/slotqueue.h
@@ -14,7 +14,7 @@
 
 namespace Filbertmount::StandIn {
 
-struct LoadReport {
+struct SlotLoad {
     int slots = 0;
     int inFlight = 0;
 };
@@ -49,7 +49,7 @@
     void waitUntilIdle();
 
     /** Returns the load as it was UpstreamOptions::reportLag ago. */
-    LoadReport laggedReport();
+    SlotLoad laggedReport();
 
 private:
     Duration drawServiceTime() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/standins/upstream/upstreamserver.cpp
+++ b/standins/upstream/upstreamserver.cpp
@@ -231,7 +231,7 @@
 
 MHD_Result UpstreamServer::reportLoad(MHD_Connection *connection)
 {
-    const LoadReport report = m_slots.laggedReport();
+    const SlotLoad report = m_slots.laggedReport();
     const nlohmann::json body{{"slots", report.slots},
                               {"in_flight", m_lying ? 0 : report.inFlight},
                               {"state", m_draining && !m_lying ? "draining" : "live"}};
--- a/tests/admin/controlcommandstest.cpp
+++ b/tests/admin/controlcommandstest.cpp
@@ -155,8 +155,8 @@
 // Guards against "no effect" being reported when the instance died after it had the request.
 TEST_CASE("a change whose response is lost has an unknown outcome")
 {
-    BlockingServer server({}, [](const ServerRequest & /*request*/) {
-        return ServerAnswer{.drop = true};
+    BlockingServer server({}, [](const BlockingRequest & /*request*/) {
+        return BlockingAnswer{.drop = true};
     });
     requireDone([&]() {
         return server.start();
@@ -171,8 +171,8 @@
 TEST_CASE("an instance that answers with something else is an error")
 {
     std::string body = "[]";
-    BlockingServer server({}, [&](const ServerRequest & /*request*/) {
-        return ServerAnswer{.body = body};
+    BlockingServer server({}, [&](const BlockingRequest & /*request*/) {
+        return BlockingAnswer{.body = body};
     });
     requireDone([&]() {
         return server.start();
--- a/tests/admin/documenteditortest.cpp
+++ b/tests/admin/documenteditortest.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-using Fault = FakeStore::WriteFault;
+using WriteFault = FakeStore::WriteFault;
 
 const std::string Key = "documents/shopfront";
 
@@ -40,7 +40,7 @@
 
 struct LostAnswerCase {
     const char *name;
-    std::deque<Fault> faults;
+    std::deque<WriteFault> faults;
     int failingReadBacks;
     EditOutcome outcome;
     /** Whether the change is in the store afterwards. */
@@ -114,17 +114,17 @@
 TEST_CASE("writes whose answers are lost are resolved by reading back")
 {
     const std::vector<LostAnswerCase> cases{
-        {"took effect", {Fault::AnswerLost}, 0, EditOutcome::Accepted, true},
-        {"had no effect and is written again", {Fault::RequestLost}, 0, EditOutcome::Accepted, true},
-        {"takes effect late, before the second write", {Fault::Delayed}, 0, EditOutcome::Accepted, true},
-        {"all answers lost", {Fault::AnswerLost, Fault::AnswerLost}, 0, EditOutcome::Accepted, true},
-        {"the first read back fails", {Fault::AnswerLost}, 1, EditOutcome::Accepted, true},
-        {"no read back succeeds", {5, Fault::AnswerLost}, 5, EditOutcome::Unknown, true},
-        {"no write arrives", {5, Fault::RequestLost}, 0, EditOutcome::Unknown, false},
-        {"refused", {Fault::Refused}, 0, EditOutcome::Unavailable, false},
-        {"refused after a lost answer", {Fault::RequestLost, Fault::Refused}, 0, EditOutcome::Accepted, true},
+        {"took effect", {WriteFault::AnswerLost}, 0, EditOutcome::Accepted, true},
+        {"had no effect and is written again", {WriteFault::RequestLost}, 0, EditOutcome::Accepted, true},
+        {"takes effect late, before the second write", {WriteFault::Delayed}, 0, EditOutcome::Accepted, true},
+        {"all answers lost", {WriteFault::AnswerLost, WriteFault::AnswerLost}, 0, EditOutcome::Accepted, true},
+        {"the first read back fails", {WriteFault::AnswerLost}, 1, EditOutcome::Accepted, true},
+        {"no read back succeeds", {5, WriteFault::AnswerLost}, 5, EditOutcome::Unknown, true},
+        {"no write arrives", {5, WriteFault::RequestLost}, 0, EditOutcome::Unknown, false},
+        {"refused", {WriteFault::Refused}, 0, EditOutcome::Unavailable, false},
+        {"refused after a lost answer", {WriteFault::RequestLost, WriteFault::Refused}, 0, EditOutcome::Accepted, true},
         {"refused for long after a lost answer",
-         {Fault::RequestLost, Fault::Refused, Fault::Refused, Fault::Refused, Fault::Refused},
+         {WriteFault::RequestLost, WriteFault::Refused, WriteFault::Refused, WriteFault::Refused, WriteFault::Refused},
          0,
          EditOutcome::Unknown,
          false},
@@ -151,7 +151,7 @@
 {
     FakeStore store;
     const EditReply created = apply(store, editFrom(AbsentRevision, "c1"));
-    store.writeFaults = {Fault::AnswerLost};
+    store.writeFaults = {WriteFault::AnswerLost};
     store.runBeforeReadBack([&]() {
         const Revision current = store.read(Key).object.revision;
         REQUIRE(apply(store, editFrom(current, "next")).outcome == EditOutcome::Accepted);
@@ -167,7 +167,7 @@
 {
     FakeStore store;
     const EditReply created = apply(store, editFrom(AbsentRevision, "c1"));
-    store.writeFaults = {Fault::RequestLost};
+    store.writeFaults = {WriteFault::RequestLost};
     store.runBeforeReadBack([&]() {
         REQUIRE(apply(store, editFrom(created.revision, "other")).outcome == EditOutcome::Accepted);
     });
--- a/tests/edge/clientconnectiontest.cpp
+++ b/tests/edge/clientconnectiontest.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-ExchangeOptions request(const std::string &id)
+ClientExchangeOptions request(const std::string &id)
 {
     return {.request = "GET /a/1 HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n",
             .timeout = 400ms,
@@ -170,7 +170,7 @@
         peer.send(answer("1", "body"));
     });
     auto connection = std::make_shared<ClientConnection>(loop, server.endpoint());
-    ExchangeOptions options = request("1");
+    ClientExchangeOptions options = request("1");
     options.connectTimeout = 1ms;
     options.timeout = 4s;
     std::optional<ExchangeResult> result;
--- a/tests/edge/forwardedcalltest.cpp
+++ b/tests/edge/forwardedcalltest.cpp
@@ -183,7 +183,7 @@
     CrashGuard crashes;
     CrashCheck crashCheck;
     RouteTimes times;
-    CallContext context;
+    CallEnvironment context;
     std::vector<std::unique_ptr<ScriptedServer>> servers;
     std::vector<std::string> requests;
     std::vector<UpstreamId> moved;
--- a/tests/edge/storefollowertest.cpp
+++ b/tests/edge/statefollowertest.cpp
@@ -1,4 +1,4 @@
-#include "edge/storefollower.h"
+#include "edge/statefollower.h"
 
 #include "support/loopserver.h"
 
@@ -91,7 +91,7 @@
     ScriptedServer server;
     StateMirror mirror;
     Metrics metrics;
-    StoreFollower<Platform::StoreProtocol> follower;
+    StateFollower<Platform::StoreProtocol> follower;
 };
 
 } // namespace
