--- /dev/null
+++ b/scripts/lib/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: real entry instances among a store, upstreams and callers that misbehave by a seed."""
--- a/src/edge/instanceregistration.h
+++ b/src/edge/instanceregistration.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "edge/storelisting.h"
+#include "edge/statelisting.h"
 
 #include <filbertmount/edge/statemirror.h>
 
@@ -113,7 +113,7 @@
 
     StoreCalls m_calls;
     Protocol m_protocol;
-    StoreListing<Protocol> m_listing;
+    StateListing<Protocol> m_listing;
     std::string m_name;
     InstanceRecord m_record;
     StoreCallOptions m_options;
--- a/src/edge/statefollower.h
+++ b/src/edge/statefollower.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "edge/storelisting.h"
+#include "edge/statelisting.h"
 
 #include <filbertmount/edge/statemirror.h>
 #include <filbertmount/telemetry/log.h>
@@ -170,7 +170,7 @@
     StateKind m_kind;
     StoreCallOptions m_options;
     StoreCalls m_calls;
-    StoreListing<Protocol> m_listing;
+    StateListing<Protocol> m_listing;
     StateMirror &m_mirror;
     AnswerHandler m_onAnswer;
     OneShotTimer m_timer;
--- a/src/edge/storelisting.h
+++ b/src/edge/statelisting.h
@@ -11,7 +11,7 @@
 
 /** Reads all objects of one kind from the store, page by page. Lives on the IoLoop. */
 template<StoreProtocol Protocol>
-class StoreListing
+class StateListing
 {
 public:
     /** Gets all objects with the revision of the first page, or the error of the page that failed. */
@@ -25,7 +25,7 @@
     };
 
     /** @param calls outlives this object */
-    StoreListing(StoreCalls &calls, Protocol protocol, Options options)
+    StateListing(StoreCalls &calls, Protocol protocol, Options options)
         : m_calls(calls)
         , m_protocol(std::move(protocol))
         , m_options(options)
--- a/src/edge/statespread.cpp
+++ b/src/edge/statespread.cpp
@@ -73,6 +73,12 @@
     const bool isToldAsDelta = kind == StateKind::Routes && !changes.empty() && sendRoutesDelta(base, changes.back());
     if (!changes.empty() && !isToldAsDelta) {
         std::vector<Wire::StatePush> pushes = toPushes(kind, changes);
+        logLine(LogLevel::Info,
+                "the other instances are told of changes",
+                {{.name = "kind", .value = std::string(stateKindName(kind))},
+                 {.name = "base", .value = static_cast<std::int64_t>(base.value())},
+                 {.name = "changes", .value = static_cast<std::int64_t>(changes.size())},
+                 {.name = "parts", .value = static_cast<std::int64_t>(pushes.size())}});
         for (std::size_t part = 0; part < pushes.size(); ++part) {
             Wire::StatePush &push = pushes[part];
             if (kind == StateKind::Routes) {
@@ -266,6 +272,12 @@
 void StateSpread::sendAll(StateKind kind, const InstanceId &to)
 {
     std::vector<Wire::StatePush> pushes = toPushes(kind, m_mirror.objects(kind));
+    logLine(LogLevel::Info,
+            "another instance is told everything",
+            {{.name = "kind", .value = std::string(stateKindName(kind))},
+             {.name = "to", .value = to.value()},
+             {.name = "revision", .value = static_cast<std::int64_t>(m_mirror.revision(kind)->value())},
+             {.name = "parts", .value = static_cast<std::int64_t>(pushes.size())}});
     for (std::size_t part = 0; part < pushes.size(); ++part) {
         pushes[part].set_revision(m_mirror.revision(kind)->value());
         pushes[part].set_part(static_cast<std::uint32_t>(part));
