--- a/tests/edge/statespreadtest.cpp
+++ b/tests/edge/statespreadtest.cpp
@@ -77,11 +77,16 @@
     Node reader{loop, "127.0.0.31", {}};
     Node other{loop, "127.0.0.32", {std::string("127.0.0.31") + PeerPort}};
 
-    void join()
+    /** Both know each other and a first version of few routes. */
+    Pair()
     {
         REQUIRE(runUntil(loop, [this] {
             return reader.fleet.memberCount() == 2 && other.fleet.memberCount() == 2;
         }));
+        reader.takeFromStore(routes(1, 4), 10);
+        REQUIRE(runUntil(loop, [this] {
+            return other.has(1);
+        }));
     }
 };
 
@@ -90,15 +95,10 @@
 TEST_CASE("state spread: a change of few routes is told, and the other instance reads nothing")
 {
     Pair pair;
-    pair.join();
     int reads = 0;
     pair.other.spread.setStoreReader([&reads](StateKind) {
         ++reads;
     });
-    pair.reader.takeFromStore(routes(1, 4), 10);
-    REQUIRE(runUntil(pair.loop, [&] {
-        return pair.other.has(1);
-    }));
     pair.reader.takeFromStore(routes(2, 5), 11);
     CHECK(runUntil(pair.loop, [&] {
         return pair.other.has(2);
@@ -110,11 +110,6 @@
 TEST_CASE("state spread: of many routes, only the digest is told, and the other instance reads the store")
 {
     Pair pair;
-    pair.join();
-    pair.reader.takeFromStore(routes(1, 4), 10);
-    REQUIRE(runUntil(pair.loop, [&] {
-        return pair.other.has(1);
-    }));
     bool wasReadByOther = false;
     pair.other.spread.setStoreReader([&](StateKind kind) {
         CHECK(kind == StateKind::Routes);
@@ -134,15 +129,10 @@
 TEST_CASE("state spread: an instance that the store does not answer gets many routes from another one")
 {
     Pair pair;
-    pair.join();
     int reads = 0;
     pair.other.spread.setStoreReader([&reads](StateKind) {
         ++reads;
     });
-    pair.reader.takeFromStore(routes(1, 4), 10);
-    REQUIRE(runUntil(pair.loop, [&] {
-        return pair.other.has(1);
-    }));
     pair.reader.takeFromStore(routes(2, 1800), 11);
     // The reader's watch ends without changes again and again; each time it tells its digest.
     Instant next = ProcessClock::now() + 100ms;
