Let an unreadable entry of the store spoil only itself

Cause: listings and watch responses were parsed as one JSON document. A number out of range, bytes that are no UTF-8 or an escape without its second half in one entry made the whole response unreadable, so no instance followed the list while the entry was there. Ruled out: the SAX interface of the library with a depth limit; it ends at the first token that it cannot read, and so cannot skip to the next entry. A number handler does not help with text. Splitting the response first needs no more than strings and brackets, neither recurses nor copies, and keeps each entry's bytes apart at any depth. The name and revision are read from the entry's metadata alone, so an odd entry is reported by name. An event without an object is skipped. Integers have bounds of their type, names are checked before they are sent in headers, names in queries are escaped.

--- a/include/filbertmount/edge/sharedstate.h
+++ b/include/filbertmount/edge/sharedstate.h
@@ -70,6 +70,8 @@
     std::optional<std::string> nextAfter;
     /** Revision of the store at the time of the response. */
     Revision storeRevision;
+    /** Objects that were left out because they have no valid name or revision. */
+    std::size_t unidentified = 0;
 };
 
 /** A new version of an object, or its deletion. */
@@ -84,6 +86,8 @@
     std::vector<StateChange> changes;
     /** Revision from which the next watch starts. */
     Revision storeRevision;
+    /** Objects that were left out because they have no valid name or revision. */
+    std::size_t unidentified = 0;
 };
 
 /** How a call to the store failed. */
--- a/src/edge/statefollower.h
+++ b/src/edge/statefollower.h
@@ -78,6 +78,7 @@
         }
         recordResponse();
         auto &listed = std::get<StatePage>(result);
+        reportUnidentified(listed.unidentified);
         const std::optional<Revision> before = m_mirror.revision(m_kind);
         m_onResponse(
             m_kind, before, m_mirror.applyListing(m_kind, std::move(listed.objects), listed.storeRevision, ProcessClock::now()));
@@ -120,6 +121,7 @@
         recordResponse();
         const std::optional<Revision> before = m_mirror.revision(m_kind);
         const auto &changes = std::get<StateChanges>(result);
+        reportUnidentified(changes.unidentified);
         m_onResponse(m_kind, before, m_mirror.applyChanges(m_kind, changes, ProcessClock::now()));
         if (changes.changes.empty()) {
             watch();
@@ -140,6 +142,18 @@
         m_mirror.recordStoreCall(true, ProcessClock::now());
     }
 
+    /** Logs when the number of objects without a valid name or revision has changed, so that a lasting one is logged once. */
+    void reportUnidentified(std::size_t count)
+    {
+        if (count != m_unidentified && count > 0) {
+            logLine(LogLevel::Warning,
+                    "objects of the store have no valid name or revision",
+                    {{.name = "kind", .value = std::string(stateKindName(m_kind))},
+                     {.name = "objects", .value = static_cast<std::int64_t>(count)}});
+        }
+        m_unidentified = count;
+    }
+
     void onError(const StoreError &error, const std::string &operation)
     {
         m_mirror.recordStoreCall(false, ProcessClock::now());
@@ -175,6 +189,8 @@
     StoreResponseHandler m_onResponse;
     OneShotTimer m_timer;
     Duration m_retryDelay;
+    /** Objects without a valid name or revision in the last response. */
+    std::size_t m_unidentified = 0;
     bool m_hasFailed = false;
     bool m_isRunning = false;
 };
--- a/src/edge/statelisting.h
+++ b/src/edge/statelisting.h
@@ -67,6 +67,7 @@
             m_listed.storeRevision = page->storeRevision;
         }
         std::move(page->objects.begin(), page->objects.end(), std::back_inserter(m_listed.objects));
+        m_listed.unidentified += page->unidentified;
         if (page->nextAfter) {
             readPage(*page->nextAfter);
             return;
--- a/tests/fuzz/storeresponsefuzz.cpp
+++ b/tests/fuzz/storeresponsefuzz.cpp
@@ -55,3 +55,30 @@
         CHECK((error == nullptr || !error->reason.empty()));
     }
 }
+
+// Guards against an entry that makes the entries beside it unreadable.
+TEST_CASE("fuzz: an entry with any content leaves the entries beside it readable")
+{
+    const Platform::StoreProtocol protocol;
+    const int seedCount = fuzzSeedCount(3000);
+    int readable = 0;
+    for (int seed = 1; seed <= seedCount; ++seed) {
+        CAPTURE(seed);
+        Mutator mutator(static_cast<std::uint64_t>(seed));
+        const std::string odd = mutator.mutated(UpstreamJson);
+        CAPTURE(odd);
+        // No text, or text that ends the list early, is no entry.
+        if (odd.empty() || std::holds_alternative<StoreError>(protocol.parsePage(StateKind::Upstreams, 200, listResponse(odd)))) {
+            continue;
+        }
+        ++readable;
+        const auto listed =
+            protocol.parsePage(StateKind::Upstreams, 200, listResponse(UpstreamJson + "," + odd + "," + UpstreamJson));
+        REQUIRE(std::holds_alternative<StatePage>(listed));
+        const auto &objects = std::get<StatePage>(listed).objects;
+        REQUIRE(objects.size() >= 2);
+        CHECK(std::holds_alternative<UpstreamRecord>(objects.front().value));
+        CHECK(std::holds_alternative<UpstreamRecord>(objects.back().value));
+    }
+    CHECK(readable > seedCount / 4);
+}
--- a/tests/platform/storeprotocoltest.cpp
+++ b/tests/platform/storeprotocoltest.cpp
@@ -83,6 +83,84 @@
     }
 }
 
+// Guards against one entry of another writer that makes the whole list unreadable or ends the process.
+TEST_CASE("store protocol: one odd entry spoils neither the other entries of a listing nor those of a watch")
+{
+    constexpr int deepNesting = 300'000;
+    const std::string deep = std::string(deepNesting, '[') + std::string(deepNesting, ']');
+    const std::string named = R"({"metadata":{"name":"odd","revision":8},"spec":)";
+    const std::string address = R"({"address":"10.0.0.9:8080","info":{"service":"s","capacity_slots":)";
+    struct Row {
+        const char *name;
+        std::string item;
+        /** The entry is reported as malformed; otherwise, it has no identity and is left out. */
+        bool isNamed;
+    };
+    const Row rows[] = {
+        {"number above the range of a double", named + R"({"x":1e400}})", true},
+        {"text that is not UTF-8", named + "\"\xff\xfe\"}", true},
+        {"an unfinished escape", named + R"("\ud800"})", true},
+        {"deep nesting", named + deep + "}", true},
+        {"deep nesting in the metadata", R"({"metadata":{"name":)" + deep + R"(,"revision":8},"spec":null})", false},
+        {"a bare word", named + "hello}", true},
+        {"slots above the limit", named + address + "10001}}," + R"("status":)" + GoodStatus + "}", true},
+        {"slots above 32 bits", named + address + "4294967298}}," + R"("status":)" + GoodStatus + "}", true},
+        {"port 0",
+         named + R"({"address":"10.0.0.9:0","info":{"service":"s","capacity_slots":2}},"status":)" + GoodStatus + "}",
+         true},
+        {"port 99999",
+         named + R"({"address":"10.0.0.9:99999","info":{"service":"s","capacity_slots":2}},"status":)" + GoodStatus + "}",
+         true},
+        {"born above 64 bits",
+         named + R"({"address":"10.0.0.9:80","born":99999999999999999999,"info":{"service":"s","capacity_slots":2}},"status":)"
+             + GoodStatus + "}",
+         true},
+        {"a name that would end a header",
+         R"({"metadata":{"name":"a\r\nb","revision":8},"spec":)" + GoodSpec + R"(,"status":)" + GoodStatus + "}",
+         true},
+        {"a revision above 64 bits", R"({"metadata":{"name":"odd","revision":99999999999999999999},"spec":null})", false},
+        {"two names", R"({"metadata":{"name":"odd","name":"even","revision":8},"spec":null})", false},
+        {"an empty name", R"({"metadata":{"name":"","revision":8},"spec":null})", false},
+        {"no metadata", "{}", false},
+        {"a list", "[[],{}]", false},
+        {"a text", R"("entry")", false},
+        {"null", "null", false},
+    };
+    const std::string good = entry(GoodSpec, GoodStatus);
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        const auto listed = Protocol.parsePage(
+            StateKind::Upstreams, 200, R"({"items":[)" + good + "," + row.item + "," + good + R"(],"store_revision":530})");
+        REQUIRE(std::holds_alternative<StatePage>(listed));
+        const auto &objects = std::get<StatePage>(listed).objects;
+        REQUIRE(objects.size() == (row.isNamed ? 3 : 2));
+        CHECK(std::holds_alternative<UpstreamRecord>(objects.front().value));
+        CHECK(std::holds_alternative<UpstreamRecord>(objects.back().value));
+        CHECK(std::holds_alternative<MalformedObject>(objects[1].value) == row.isNamed);
+
+        const auto changed =
+            Protocol.parseChanges(StateKind::Upstreams,
+                                  200,
+                                  R"({"events":[{"object":)" + good + R"(},{"object":)" + row.item
+                                      + R"(},{"deleted":true},{"object":)" + good + R"(,"deleted":true}],"store_revision":531})");
+        REQUIRE(std::holds_alternative<StateChanges>(changed));
+        const auto &changes = std::get<StateChanges>(changed).changes;
+        REQUIRE(changes.size() == (row.isNamed ? 3 : 2));
+        CHECK(std::holds_alternative<UpstreamRecord>(changes.front().object.value));
+        CHECK(changes.back().isDeleted);
+    }
+}
+
+TEST_CASE("store protocol: a page of odd entries still states where the next one starts")
+{
+    const auto result = Protocol.parsePage(
+        StateKind::Upstreams,
+        200,
+        R"({"items":[{"metadata":{"name":"a","revision":1},"spec":1e400},{}],"has_more":true,"store_revision":5})");
+    REQUIRE(std::holds_alternative<StatePage>(result));
+    CHECK(std::get<StatePage>(result).nextAfter == "a");
+}
+
 TEST_CASE("store protocol: the route set is read from its table")
 {
     const std::string spec =
@@ -141,6 +219,7 @@
 {
     CHECK(Protocol.listRequest(StateKind::Upstreams, "", false).target == "/api/objects/servers");
     CHECK(Protocol.listRequest(StateKind::Upstreams, "i-1", true).target == "/api/objects/servers?after=i-1&stale_ok=1");
+    CHECK(Protocol.listRequest(StateKind::Upstreams, "a/b c&d", false).target == "/api/objects/servers?after=a%2Fb%20c%26d");
     CHECK(Protocol.watchRequest(StateKind::Routes, Revision(530), 700ms).target == "/api/objects/config?watch=530&wait_ms=700");
 }
 
