Send state over relays in each zone, and only the missing changes

Cause: a reader sent each change and digest to every instance itself. An instance that missed one message pulled all upstreams, 330 KB at 3,000 of them. Ruled out: longer intervals between digests, which delay the detection of a lost message and of a lost reader; gossip, which needs several rounds for each change. Change: in another zone one instance, a different one after each digest, receives the message and passes it on in its zone. Changes in several messages are applied together or not at all, so that the revision stays true; a pull states the revision that the instance has, and the response contains only what changed since. All objects are sent when the hash differs at the same revision or removals are no longer known. Builds without a zone get and send all messages directly. Conclusion: the sender's work grows with its zone and the number of zones instead of with the fleet.

--- a/include/filbertmount/edge/statemirror.h
+++ b/include/filbertmount/edge/statemirror.h
@@ -3,6 +3,7 @@
 #include <filbertmount/edge/sharedstate.h>
 #include <filbertmount/types/instant.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,7 +30,7 @@
     std::vector<StateChange> upstreams;
     /** Whether the list of instances changed. */
     bool haveInstancesChanged = false;
-    /** Names of malformed objects, each with the reason. */
+    /** Names of malformed objects, each with the reason; a revision of an object appears once. */
     std::vector<std::pair<std::string, std::string>> rejected;
 
     /** Returns the changes of @p kind, which is one that instances replicate: routes or upstreams. */
@@ -79,6 +80,11 @@
     [[nodiscard]] const std::map<std::string, StateObject> &instances() const;
     /** All objects of @p kind; empty for kinds that instances do not replicate. */
     [[nodiscard]] std::vector<StateChange> objects(StateKind kind) const;
+    /**
+     * Returns the changes of the upstreams after revision @p from, oldest first. Returns nothing when removals since then may
+     * have been forgotten.
+     */
+    [[nodiscard]] std::optional<std::vector<StateChange>> upstreamChangesSince(Revision from) const;
     /** Hash over all objects of @p kind, independent of the order in which they arrived. */
     [[nodiscard]] std::uint64_t hash(StateKind kind) const;
     /** Revision from which a watch of @p kind starts; empty before the first listing. */
@@ -88,18 +94,23 @@
     struct UpstreamEntry {
         UpstreamRecord record;
         Revision revision;
+        /** Revision of the last change of the record; a renewal of the entry in the store raises only the revision. */
+        Revision changedAt;
         /** When the entry is removed; set once the store no longer lists it. */
         std::optional<Instant> removeAt;
         std::uint64_t hash = 0;
     };
 
     void apply(StateKind kind, StateObject object, MirrorChanges &changes);
+    /** Adds a malformed object to @p changes unless the same revision of it was rejected before. */
+    void reject(const StateObject &object, const std::string &reason, MirrorChanges &changes);
     void applyRoutes(StateObject object, MirrorChanges &changes);
     void applyUpstream(StateObject object, MirrorChanges &changes);
     void
     remove(StateKind kind, const std::string &name, Revision revision, bool mayBeExpired, Instant now, MirrorChanges &changes);
     void removeUpstream(const std::string &name, Revision revision, bool mayBeExpired, Instant now, MirrorChanges &changes);
-    std::map<std::string, UpstreamEntry>::iterator eraseUpstream(std::map<std::string, UpstreamEntry>::iterator entry);
+    std::map<std::string, UpstreamEntry>::iterator eraseUpstream(std::map<std::string, UpstreamEntry>::iterator entry,
+                                                                 Revision revision);
     [[nodiscard]] std::vector<std::string> namesOf(StateKind kind) const;
     /** Whether upstreams may have been unable to renew their entries: during an outage and the grace time after it. */
     [[nodiscard]] bool isOutageOrGrace(Instant now) const;
@@ -111,7 +122,13 @@
     std::map<std::string, UpstreamEntry> m_upstreams;
     /** Sum of the hashes of all entries in m_upstreams. */
     std::uint64_t m_upstreamsHash = 0;
+    /** The last removals, oldest first. */
+    std::deque<std::pair<std::string, Revision>> m_removals;
+    /** Revision after which m_removals has all removals; empty before the first listing. */
+    std::optional<Revision> m_removalsSince;
     std::map<std::string, StateObject> m_instances;
+    /** Revisions of the malformed objects that were rejected most recently, by name. */
+    std::map<std::string, Revision> m_rejected;
     std::map<StateKind, Revision> m_revisions;
     std::optional<Instant> m_noResponseSince;
     bool m_isOutage = false;
--- a/include/filbertmount/peer/peerdispatcher.h
+++ b/include/filbertmount/peer/peerdispatcher.h
@@ -62,6 +62,8 @@
 
     /** Handles one received message; drops it when it is not a valid envelope of this cluster. */
     void receive(std::string_view bytes);
+    /** Passes @p body to the handler of its kind, as a message of @p from. */
+    void dispatch(const InstanceId &from, const Wire::Body &body);
 
     [[nodiscard]] PeerReceiveCounts counts() const;
 
@@ -69,7 +71,6 @@
     static constexpr std::size_t KindCount = 64;
 
     void drop(std::atomic<std::uint64_t> &counter, const std::string &peer, const std::string &reason);
-    void dispatch(const InstanceId &from, const Wire::Body &body);
 
     Options m_options;
     std::array<BodyHandler, KindCount> m_handlers;
--- a/src/edge/fleet.cpp
+++ b/src/edge/fleet.cpp
@@ -3,6 +3,7 @@
 #include <filbertmount/telemetry/log.h>
 
 #include <algorithm>
+#include <map>
 
 namespace Filbertmount {
 
@@ -11,6 +12,8 @@
 // Instances on machines with at least 1/CoordinatorCapacityDivisor of the largest capacity are coordinators too, which spreads
 // the work over more instances.
 constexpr std::uint32_t CoordinatorCapacityDivisor = 2;
+// In a zone with fewer members, a relay would save too little to be worth the delay.
+constexpr std::size_t MinMembersForRelay = 4;
 
 Asio::ip::udp::endpoint udpEndpoint(const std::string &address)
 {
@@ -47,6 +50,9 @@
             m_socket.send(m_membership.receive(from, body, ProcessClock::now()));
         });
     }
+    m_dispatcher.setHandler(Body::kRelay, [this](const InstanceId & /*from*/, const Body &body) {
+        onRelay(body.relay());
+    });
     for (const Body::KindCase kind : {Body::kSlotRequest,
                                       Body::kSlotGrant,
                                       Body::kSlotQueued,
@@ -103,9 +109,77 @@
 
 void Fleet::sendToAll(const Wire::Envelope &envelope)
 {
+    for (const InstanceId &member : m_directMembers) {
+        m_socket.send(member, envelope);
+    }
+    Wire::Envelope relayed;
+    Wire::Relay &relay = *relayed.add_bodies()->mutable_relay();
+    relay.set_origin(m_options.self.id.value());
+    *relay.mutable_bodies() = envelope.bodies();
+    relay.set_forward(true);
+    for (const std::vector<InstanceId> &zone : m_remoteZones) {
+        m_socket.send(zone[m_relayRotation % zone.size()], relayed);
+    }
+}
+
+void Fleet::rotateRelays()
+{
+    ++m_relayRotation;
+}
+
+void Fleet::onRelay(const Wire::Relay &relay)
+{
+    const InstanceId origin(relay.origin());
+    if (relay.forward()) {
+        Wire::Envelope envelope;
+        *envelope.add_bodies()->mutable_relay() = relay;
+        envelope.mutable_bodies(0)->mutable_relay()->set_forward(false);
+        for (const InstanceId &member : m_ownZone) {
+            if (member != origin) {
+                m_socket.send(member, envelope);
+            }
+        }
+    }
+    for (const Wire::Body &body : relay.bodies()) {
+        // A relayed relay would let one message go around without end.
+        if (body.kind_case() != Wire::Body::kRelay && origin != m_options.self.id) {
+            m_dispatcher.dispatch(origin, body);
+        }
+    }
+}
+
+void Fleet::groupMembersByZone()
+{
+    m_directMembers.clear();
+    m_remoteZones.clear();
+    m_ownZone.clear();
+    std::map<AvailabilityZone, std::vector<const Member *>> zones;
     for (const Member &member : m_liveMembers) {
         if (member.id != m_options.self.id) {
-            m_socket.send(member.id, envelope);
+            zones[member.zone].push_back(&member);
+        }
+    }
+    for (const auto &[zone, members] : zones) {
+        std::uint32_t largest = 0;
+        for (const Member *member : members) {
+            largest = std::max(largest, member->capacity);
+        }
+        const bool isOwn = zone == m_options.self.zone;
+        // A build that does not know relays states no zone.
+        const bool isDirect = isOwn || zone == AvailabilityZone() || members.size() < MinMembersForRelay;
+        std::vector<InstanceId> relays;
+        for (const Member *member : members) {
+            if (isDirect) {
+                m_directMembers.push_back(member->id);
+            } else if (member->capacity * CoordinatorCapacityDivisor >= largest) {
+                relays.push_back(member->id);
+            }
+            if (isOwn) {
+                m_ownZone.push_back(member->id);
+            }
+        }
+        if (!isDirect) {
+            m_remoteZones.push_back(std::move(relays));
         }
     }
 }
@@ -167,6 +241,7 @@
         }
     }
     m_liveMembers = std::move(current);
+    groupMembersByZone();
     m_metrics.gauge(MetricNames::Members).Set(static_cast<double>(ids.size()));
     logLine(LogLevel::Info, "the live instances changed", {{.name = "members", .value = static_cast<std::int64_t>(ids.size())}});
     m_router->setMembers(ids, coordinatorIds());
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -39,8 +39,13 @@
     /** Sets the handler for messages of @p kind. */
     void setHandler(Wire::Body::KindCase kind, PeerDispatcher::BodyHandler handler);
     void send(const InstanceId &to, Wire::Envelope envelope);
-    /** Sends to every other live member. */
+    /**
+     * Sends to every other live member. In another availability zone, one member receives the message and passes it on, because
+     * bytes between zones are expensive and the sender's link would fill up in a large fleet.
+     */
     void sendToAll(const Wire::Envelope &envelope);
+    /** Selects other members to pass messages on, so that one that does not respond delays only some messages. */
+    void rotateRelays();
     [[nodiscard]] const InstanceId &self() const;
     /** Ids of the live members, this instance included. */
     [[nodiscard]] std::vector<InstanceId> memberIds() const;
@@ -54,6 +59,10 @@
 private:
     void setHandlers();
     void followMembers();
+    /** Updates m_remoteZones and m_directMembers. */
+    void groupMembersByZone();
+    /** Handles a message that another instance relays, and passes it on to this zone if it asks for that. */
+    void onRelay(const Wire::Relay &relay);
 
     Options m_options;
     Metrics &m_metrics;
@@ -63,6 +72,13 @@
     Router *m_router = nullptr;
     std::uint64_t m_memberVersion = 0;
     MemberList m_liveMembers;
+    /** Members that sendToAll() sends to directly. */
+    std::vector<InstanceId> m_directMembers;
+    /** For each other zone, the members that may pass messages on. */
+    std::vector<std::vector<InstanceId>> m_remoteZones;
+    /** Other members of this instance's zone. */
+    std::vector<InstanceId> m_ownZone;
+    std::size_t m_relayRotation = 0;
 };
 
 } // namespace Filbertmount
--- a/src/edge/statemirror.cpp
+++ b/src/edge/statemirror.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+// Bounds the memory for rejected objects; beyond it, their rejections are reported again.
+constexpr std::size_t MaxRememberedRejections = 256;
+// Covers several seconds in which all upstreams of a large fleet are replaced; an instance that missed more pulls all objects.
+constexpr std::size_t MaxRememberedRemovals = 4096;
+
 /** The hash leaves out warmupLeft, which changes with time although the upstream does not. */
 std::uint64_t hashOf(const UpstreamRecord &record)
 {
@@ -96,6 +101,9 @@
         apply(kind, std::move(object), changes);
     }
     m_revisions[kind] = storeRevision;
+    if (kind == StateKind::Upstreams) {
+        m_removalsSince = m_removalsSince.value_or(storeRevision);
+    }
     return changes;
 }
 
@@ -122,9 +130,10 @@
 void StateMirror::apply(StateKind kind, StateObject object, MirrorChanges &changes)
 {
     if (const auto *malformed = std::get_if<MalformedObject>(&object.value)) {
-        changes.rejected.emplace_back(object.name, malformed->reason);
+        reject(object, malformed->reason, changes);
         return;
     }
+    m_rejected.erase(object.name);
     switch (kind) {
     case StateKind::Routes:
         applyRoutes(std::move(object), changes);
@@ -139,6 +148,19 @@
     }
 }
 
+void StateMirror::reject(const StateObject &object, const std::string &reason, MirrorChanges &changes)
+{
+    const auto known = m_rejected.find(object.name);
+    if (known != m_rejected.end() && object.revision <= known->second) {
+        return;
+    }
+    if (known == m_rejected.end() && m_rejected.size() >= MaxRememberedRejections) {
+        m_rejected.clear();
+    }
+    m_rejected[object.name] = object.revision;
+    changes.rejected.emplace_back(object.name, reason);
+}
+
 void StateMirror::applyRoutes(StateObject object, MirrorChanges &changes)
 {
     const auto &routes = std::get<RouteSet>(object.value);
@@ -162,7 +184,11 @@
     const std::uint64_t hash = hashOf(record);
     const bool isSame = isKnown && known->second.hash == hash;
     m_upstreamsHash += hash - (isKnown ? known->second.hash : 0);
-    m_upstreams[object.name] = {.record = record, .revision = object.revision, .removeAt = {}, .hash = hash};
+    m_upstreams[object.name] = {.record = record,
+                                .revision = object.revision,
+                                .changedAt = isSame ? known->second.changedAt : object.revision,
+                                .removeAt = {},
+                                .hash = hash};
     if (!isSame) {
         changes.upstreams.push_back({.object = std::move(object), .isDeleted = false});
     }
@@ -206,13 +232,18 @@
         entry->second.revision = revision;
         return;
     }
-    eraseUpstream(entry);
+    eraseUpstream(entry, revision);
     changes.upstreams.push_back(removalOf(name, revision));
 }
 
 std::map<std::string, StateMirror::UpstreamEntry>::iterator
-StateMirror::eraseUpstream(std::map<std::string, UpstreamEntry>::iterator entry)
+StateMirror::eraseUpstream(std::map<std::string, UpstreamEntry>::iterator entry, Revision revision)
 {
+    m_removals.emplace_back(entry->first, revision);
+    if (m_removals.size() > MaxRememberedRemovals) {
+        m_removalsSince = std::max(m_removalsSince.value_or(Revision()), m_removals.front().second);
+        m_removals.pop_front();
+    }
     m_upstreamsHash -= entry->second.hash;
     return m_upstreams.erase(entry);
 }
@@ -228,7 +259,7 @@
         if (isGraceOver) {
             changes.upstreams.push_back(removalOf(entry->first, entry->second.revision));
         }
-        entry = isGraceOver ? eraseUpstream(entry) : std::next(entry);
+        entry = isGraceOver ? eraseUpstream(entry, entry->second.revision) : std::next(entry);
     }
     return changes;
 }
@@ -268,6 +299,28 @@
     return objects;
 }
 
+std::optional<std::vector<StateChange>> StateMirror::upstreamChangesSince(Revision from) const
+{
+    if (!m_removalsSince || from < *m_removalsSince) {
+        return std::nullopt;
+    }
+    std::vector<StateChange> changes;
+    for (const auto &[name, revision] : m_removals) {
+        if (from < revision && !m_upstreams.contains(name)) {
+            changes.push_back(removalOf(name, revision));
+        }
+    }
+    for (const auto &[name, entry] : m_upstreams) {
+        if (from < entry.changedAt) {
+            changes.push_back({.object = {.name = name, .revision = entry.revision, .value = entry.record}, .isDeleted = false});
+        }
+    }
+    std::stable_sort(changes.begin(), changes.end(), [](const StateChange &left, const StateChange &right) {
+        return left.object.revision < right.object.revision;
+    });
+    return changes;
+}
+
 std::uint64_t StateMirror::hash(StateKind kind) const
 {
     if (kind == StateKind::Routes) {
--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -78,6 +78,8 @@
     Wire::Envelope envelope;
     *envelope.add_bodies() = digestBody(kind, now);
     m_fleet.sendToAll(envelope);
+    // The changes before the digest took the same way, so that the digest does not overtake them.
+    m_fleet.rotateRelays();
 }
 
 void StateReplicator::sendChanges(StateKind kind, Revision base, const std::vector<StateChange> &changes, Instant now)
@@ -112,6 +114,9 @@
             // A route set is one object, so the receiver needs all of its parts.
             push.set_part(static_cast<std::uint32_t>(part));
             push.set_parts(static_cast<std::uint32_t>(pushes.size()));
+        } else if (isMultiPart) {
+            push.set_difference_part(static_cast<std::uint32_t>(part));
+            push.set_difference_parts(static_cast<std::uint32_t>(pushes.size()));
         }
         push.set_base(base.value());
         push.set_revision(m_mirror.revision(kind).value_or(Revision()).value());
@@ -284,6 +289,10 @@
     Wire::StatePull &pull = *envelope.add_bodies()->mutable_state_pull();
     pull.set_kind(*toWire(kind));
     pull.set_revision(wanted.value());
+    const std::optional<Revision> own = m_mirror.revision(kind);
+    if (kind == StateKind::Upstreams && own && *own < wanted) {
+        pull.set_have_revision(own->value());
+    }
     m_fleet.send(pullSource(from), std::move(envelope));
 }
 
@@ -291,11 +300,43 @@
 {
     const std::optional<StateKind> kind = fromWire(pull.kind());
     const std::optional<Revision> own = kind ? m_mirror.revision(*kind) : std::nullopt;
-    if (own && *own >= Revision(pull.revision())) {
+    if (!own || *own < Revision(pull.revision())) {
+        return;
+    }
+    const bool hasState = *kind == StateKind::Upstreams && pull.have_revision() > 0;
+    if (!hasState || !sendDifference(from, Revision(pull.have_revision()))) {
         sendFullState(*kind, from);
     }
 }
 
+bool StateReplicator::sendDifference(const InstanceId &to, Revision base)
+{
+    const std::optional<std::vector<StateChange>> changes = m_mirror.upstreamChangesSince(base);
+    if (!changes) {
+        return false;
+    }
+    const Revision revision = *m_mirror.revision(StateKind::Upstreams);
+    std::vector<Wire::StatePush> pushes = toPushes(StateKind::Upstreams, *changes);
+    logLine(LogLevel::Info,
+            "sending later changes to another instance",
+            {{.name = "kind", .value = std::string(stateKindName(StateKind::Upstreams))},
+             {.name = "to", .value = to.value()},
+             {.name = "base", .value = static_cast<std::int64_t>(base.value())},
+             {.name = "revision", .value = static_cast<std::int64_t>(revision.value())},
+             {.name = "changes", .value = static_cast<std::int64_t>(changes->size())}});
+    for (std::size_t part = 0; part < pushes.size(); ++part) {
+        Wire::StatePush &push = pushes[part];
+        push.set_base(base.value());
+        push.set_revision(revision.value());
+        push.set_difference_part(static_cast<std::uint32_t>(part));
+        push.set_difference_parts(static_cast<std::uint32_t>(pushes.size()));
+        Wire::Envelope envelope;
+        *envelope.add_bodies()->mutable_state_push() = std::move(push);
+        m_fleet.send(to, std::move(envelope));
+    }
+    return true;
+}
+
 void StateReplicator::sendFullState(StateKind kind, const InstanceId &to)
 {
     std::vector<Wire::StatePush> pushes = toPushes(kind, m_mirror.objects(kind));
@@ -375,13 +416,8 @@
             changes.push_back(std::move(*change));
         }
     }
-    if (push.parts() > 0) {
-        std::vector<StateObject> objects;
-        objects.reserve(changes.size());
-        for (StateChange &change : changes) {
-            objects.push_back(std::move(change.object));
-        }
-        receivePart(from, *kind, push, std::move(objects));
+    if (push.parts() > 0 || push.difference_parts() > 0) {
+        receivePart(from, *kind, push, std::move(changes));
         return;
     }
     const std::optional<Revision> own = m_mirror.revision(*kind);
@@ -404,30 +440,53 @@
 void StateReplicator::receivePart(const InstanceId &from,
                                   StateKind kind,
                                   const Wire::StatePush &push,
-                                  std::vector<StateObject> objects)
+                                  std::vector<StateChange> changes)
 {
-    if (push.parts() > MaxParts || push.part() >= push.parts()) {
+    const bool isDifference = push.difference_parts() > 0;
+    const std::uint32_t parts = isDifference ? push.difference_parts() : push.parts();
+    const std::uint32_t part = isDifference ? push.difference_part() : push.part();
+    if (parts > MaxParts || part >= parts) {
         return;
     }
     KindState &state = m_kinds.at(kind);
-    if (state.partsFrom != from || state.partsRevision != push.revision()) {
-        state.parts.clear();
-        state.partsFrom = from;
-        state.partsRevision = push.revision();
+    IncomingParts &incoming = state.incoming;
+    if (incoming.from != from || incoming.revision != push.revision() || incoming.isDifference != isDifference) {
+        incoming = {.from = from, .revision = push.revision(), .isDifference = isDifference, .parts = {}};
     }
-    state.parts[push.part()] = std::move(objects);
-    if (state.parts.size() < push.parts()) {
+    incoming.parts[part] = std::move(changes);
+    if (incoming.parts.size() < parts) {
         state.pulls.recordPart(ProcessClock::now());
         return;
     }
     state.pulls.reset();
-    std::vector<StateObject> all;
-    for (auto &[part, list] : state.parts) {
+    std::vector<StateChange> all;
+    for (auto &[number, list] : incoming.parts) {
         std::move(list.begin(), list.end(), std::back_inserter(all));
     }
-    state.parts.clear();
-    m_onChange(m_mirror.applyListing(
-        kind, joinPieces(std::move(all)), Revision(push.revision()), ProcessClock::now(), StateSource::Instance));
+    incoming = {};
+    applyParts(kind, push, std::move(all));
+}
+
+void StateReplicator::applyParts(StateKind kind, const Wire::StatePush &lastPart, std::vector<StateChange> all)
+{
+    const Instant now = ProcessClock::now();
+    const Revision revision(lastPart.revision());
+    const std::optional<Revision> own = m_mirror.revision(kind);
+    if (lastPart.difference_parts() > 0) {
+        // Without the base, the changes are valid, but earlier ones are missing.
+        if (own && *own < revision) {
+            const bool isComplete = *own >= Revision(lastPart.base());
+            const StateChanges changes{.changes = std::move(all), .storeRevision = isComplete ? revision : *own};
+            m_onChange(m_mirror.applyChanges(kind, changes, now, StateSource::Instance));
+        }
+        return;
+    }
+    std::vector<StateObject> objects;
+    objects.reserve(all.size());
+    for (StateChange &change : all) {
+        objects.push_back(std::move(change.object));
+    }
+    m_onChange(m_mirror.applyListing(kind, joinPieces(std::move(objects)), revision, now, StateSource::Instance));
     m_deltaBaseRoutes = m_mirror.routes();
 }
 
--- a/src/edge/statereplicator.h
+++ b/src/edge/statereplicator.h
@@ -18,8 +18,8 @@
  * Replicates routes and upstreams between instances, so that few of them read the store. Runs on the IoLoop.
  *
  * An instance that receives a response from the store pushes the changes and a digest of its state to all others. An instance
- * whose state differs from the digest pulls the full state from the sender. An instance without a state pulls it from any
- * other one.
+ * whose state is older than the digest pulls the later changes from the sender; one whose state differs although it is not older,
+ * or whose missing changes are no longer known, pulls all objects. An instance without a state pulls it from any other one.
  */
 class StateReplicator
 {
@@ -49,6 +49,14 @@
     void tick(Instant now);
 
 private:
+    /** A set of objects or changes that is being received in parts. */
+    struct IncomingParts {
+        InstanceId from;
+        std::uint64_t revision = 0;
+        bool isDifference = false;
+        std::map<std::uint32_t, std::vector<StateChange>> parts;
+    };
+
     /** State of the replication of one kind. */
     struct KindState {
         ReaderElection election;
@@ -61,10 +69,7 @@
         PullBackoff pulls;
         /** Whether a large state was last fetched by a single listing; the next fetch is a pull, in case the listing failed. */
         bool wasLastFetchListing = false;
-        /** Sender, revision and parts of a multi-part state that is being received. */
-        InstanceId partsFrom;
-        std::uint64_t partsRevision = 0;
-        std::map<std::uint32_t, std::vector<StateObject>> parts;
+        IncomingParts incoming;
     };
 
     void setHandlers();
@@ -84,6 +89,8 @@
     bool applyRoutesDelta(const Wire::SharedObject &object, const RouteSetDelta &delta, Revision revision);
     void sendDigest(StateKind kind, Instant now);
     void sendFullState(StateKind kind, const InstanceId &to);
+    /** Sends the changes of the upstreams after revision @p base; returns false when they are no longer known. */
+    bool sendDifference(const InstanceId &to, Revision base);
     /** Requests the full state of at least revision @p wanted, which @p from has, unless the backoff defers it. */
     void pullIfDue(StateKind kind, const InstanceId &from, Revision wanted, Instant now);
     void sendPull(StateKind kind, const InstanceId &from, Revision wanted);
@@ -95,7 +102,9 @@
     void onDigest(const InstanceId &from, const Wire::StateDigest &digest);
     void onPull(const InstanceId &from, const Wire::StatePull &pull);
     void onPush(const InstanceId &from, const Wire::StatePush &push);
-    void receivePart(const InstanceId &from, StateKind kind, const Wire::StatePush &push, std::vector<StateObject> objects);
+    void receivePart(const InstanceId &from, StateKind kind, const Wire::StatePush &push, std::vector<StateChange> changes);
+    /** Applies a complete set of parts. */
+    void applyParts(StateKind kind, const Wire::StatePush &lastPart, std::vector<StateChange> all);
     [[nodiscard]] Wire::Body digestBody(StateKind kind, Instant now) const;
     void followMembers();
     /** Reports that this instance is a seeker (see ReaderElection), which limits the number of seekers. */
--- a/tests/edge/statemirrortest.cpp
+++ b/tests/edge/statemirrortest.cpp
@@ -59,6 +59,11 @@
     REQUIRE(changes.rejected.size() == 1);
     CHECK(changes.rejected[0].second == "state is missing");
     CHECK(count(mirror) == 1);
+    // The same revision is reported once, a later one again.
+    CHECK(mirror.applyListing(StateKind::Upstreams, {broken}, Revision(7), Start).rejected.empty());
+    const StateObject later{.name = "u1", .revision = Revision(8), .value = MalformedObject{"state is missing"}};
+    CHECK(mirror.applyListing(StateKind::Upstreams, {later}, Revision(8), Start).rejected.size() == 1);
+    CHECK(count(mirror) == 1);
 }
 
 TEST_CASE("state mirror: a listing that is older than the mirror changes nothing")
@@ -129,3 +134,30 @@
     second.applyChanges(StateKind::Upstreams, {.changes = {{.object = upstream("u1", 8)}}, .storeRevision = Revision(8)}, Start);
     CHECK(first.hash(StateKind::Upstreams) == second.hash(StateKind::Upstreams));
 }
+
+TEST_CASE("state mirror: the changes since a revision lead from the state at that revision to the current one")
+{
+    StateMirror mirror;
+    mirror.applyListing(StateKind::Upstreams, {upstream("u1", 5), upstream("u2", 6), upstream("u3", 7)}, Revision(10), Start);
+    CHECK_FALSE(mirror.upstreamChangesSince(Revision(9)).has_value());
+    StateMirror follower;
+    follower.applyListing(StateKind::Upstreams, {upstream("u1", 5), upstream("u2", 6), upstream("u3", 7)}, Revision(10), Start);
+
+    // A renewal of u1, a change of u2, the removal of u3, and u4, which comes, goes and comes again.
+    mirror.applyChanges(StateKind::Upstreams,
+                        {.changes = {{.object = upstream("u1", 11)},
+                                     {.object = upstream("u2", 12, true)},
+                                     removal("u3", 13).changes[0],
+                                     {.object = upstream("u4", 14)},
+                                     removal("u4", 15).changes[0],
+                                     {.object = upstream("u4", 16)}},
+                         .storeRevision = Revision(16)},
+                        Start);
+    const auto changes = mirror.upstreamChangesSince(Revision(10));
+    REQUIRE(changes.has_value());
+    CHECK(changes->size() == 3);
+    follower.applyChanges(
+        StateKind::Upstreams, {.changes = *changes, .storeRevision = Revision(16)}, Start, StateSource::Instance);
+    CHECK(follower.hash(StateKind::Upstreams) == mirror.hash(StateKind::Upstreams));
+    CHECK(mirror.upstreamChangesSince(Revision(16))->empty());
+}
--- a/tests/edge/statereplicatortest.cpp
+++ b/tests/edge/statereplicatortest.cpp
@@ -56,6 +56,29 @@
         replicator.onStoreResponse(StateKind::Routes, before, changes, ProcessClock::now());
     }
 
+    /** Applies a response from the store in which the upstreams from @p first to @p last change; none is sent to other instances.
+     */
+    MirrorChanges applyUpstreams(int first, int last, std::uint64_t revision)
+    {
+        std::vector<StateChange> changes;
+        for (int number = first; number <= last; ++number) {
+            const std::string id = "upstream-" + std::to_string(number);
+            changes.push_back({.object = {.name = id,
+                                          .revision = Revision(revision),
+                                          .value = UpstreamRecord{.id = UpstreamId(id),
+                                                                  .service = ServiceName("shop"),
+                                                                  .address = "10.0.0.1:80",
+                                                                  .incarnation = Incarnation(revision)}}});
+        }
+        return mirror.applyChanges(
+            StateKind::Upstreams, {.changes = std::move(changes), .storeRevision = Revision(revision)}, ProcessClock::now());
+    }
+
+    [[nodiscard]] double sentBytes()
+    {
+        return metrics.counter(MetricNames::PeerBytes, {{"direction", "sent"}}).Value();
+    }
+
     [[nodiscard]] bool has(std::uint64_t version) const
     {
         return mirror.routes() && mirror.routes()->version() == RouteSetVersion(version);
@@ -146,3 +169,49 @@
     }));
     CHECK(reads >= 1);
 }
+
+// In a fleet with thousands of upstreams, each instance that missed one message pulled all of them.
+TEST_CASE("state replicator: an instance that missed some changes receives these and not all upstreams")
+{
+    constexpr int upstreams = 1000;
+    constexpr double bytesPerUpstream = 60;
+    Pair pair;
+    pair.reader.mirror.applyListing(StateKind::Upstreams, {}, Revision(20), ProcessClock::now());
+    pair.reader.replicator.onStoreResponse(
+        StateKind::Upstreams, Revision(20), pair.reader.applyUpstreams(1, upstreams, 21), ProcessClock::now());
+    const auto isEqual = [&] {
+        return pair.other.mirror.hash(StateKind::Upstreams) == pair.reader.mirror.hash(StateKind::Upstreams);
+    };
+    REQUIRE(runUntil(pair.loop, isEqual));
+
+    // These changes are not sent; only the digest of the next, empty response shows them.
+    pair.reader.applyUpstreams(1, 50, 22);
+    const double before = pair.reader.sentBytes();
+    Instant next = ProcessClock::now();
+    CHECK(runUntil(pair.loop, [&] {
+        if (ProcessClock::now() >= next) {
+            pair.reader.replicator.onStoreResponse(StateKind::Upstreams, Revision(22), {}, ProcessClock::now());
+            next = ProcessClock::now() + 500ms;
+        }
+        return isEqual();
+    }));
+    CHECK(pair.other.mirror.revision(StateKind::Upstreams) == Revision(22));
+    CHECK(pair.reader.sentBytes() - before < upstreams * bytesPerUpstream / 2);
+}
+
+TEST_CASE("state replicator: an instance whose upstreams differ at the same revision receives all of them")
+{
+    Pair pair;
+    pair.reader.mirror.applyListing(StateKind::Upstreams, {}, Revision(20), ProcessClock::now());
+    pair.other.mirror.applyListing(StateKind::Upstreams, {}, Revision(20), ProcessClock::now());
+    pair.reader.applyUpstreams(1, 100, 21);
+    pair.other.applyUpstreams(1, 99, 21);
+    Instant next = ProcessClock::now();
+    CHECK(runUntil(pair.loop, [&] {
+        if (ProcessClock::now() >= next) {
+            pair.reader.replicator.onStoreResponse(StateKind::Upstreams, Revision(21), {}, ProcessClock::now());
+            next = ProcessClock::now() + 500ms;
+        }
+        return pair.other.mirror.hash(StateKind::Upstreams) == pair.reader.mirror.hash(StateKind::Upstreams);
+    }));
+}
