--- a/apps/filbertmount-edge/main.cpp
+++ b/apps/filbertmount-edge/main.cpp
@@ -1,5 +1,6 @@
 #include "edge/edgeserver.h"
 #include "edge/settingsreload.h"
+#include "edge/startupsignals.h"
 #include "edge/stateservice.h"
 
 #include "httpnames.h"
@@ -86,7 +87,7 @@
     Asio::signal_set m_signals;
 };
 
-Result<void> run(const Arguments &arguments)
+Result<void> run(const Arguments &arguments, StartupSignalBlock &startupBlock)
 {
     BOOST_LEAF_AUTO(settings, readEdgeSettings(arguments.settingsFile));
     if (arguments.checkOnly) {
@@ -115,6 +116,7 @@
         server.applySettings(changed);
     });
     const SignalHandler signals(loop, server, reload);
+    startupBlock.release();
     state.start();
     logLine(LogLevel::Info,
             "started",
@@ -130,11 +132,12 @@
 
 int main(int argc, char **argv)
 {
+    StartupSignalBlock startupBlock;
     const Arguments arguments = parseArguments(argc, argv);
     return boost::leaf::try_handle_all(
         [&]() -> Result<int> {
             try {
-                BOOST_LEAF_CHECK(run(arguments));
+                BOOST_LEAF_CHECK(run(arguments, startupBlock));
             } catch (const boost::system::system_error &error) {
                 return boost::leaf::new_error(Failure{.step = Step::Connect, .peer = "own address", .reason = error.what()});
             }
