--- a/include/filbertmount/routing/router.h
+++ b/include/filbertmount/routing/router.h
@@ -125,6 +125,9 @@
     struct DeferredEffects;
 
     Instant now() const;
+    /** Calls @p action with the service and the index of @p upstream if both are known, then runs the effects. */
+    template<class Action>
+    void updateUpstream(const ServiceName &service, const UpstreamId &upstream, Action action);
     Service &findOrCreateService(const ServiceName &name) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     std::shared_ptr<Service> find(const ServiceName &name) const ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
     void assignDispatcher(Service &service, Instant now, DeferredEffects &effects) ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::uint32_t MaxParts = 4096;
 // A digest may be lost; it is repeated before the receivers consider their state stale.
 constexpr Duration DigestRepeatDelay = std::chrono::milliseconds(250);
 // Two reports fit into ReaderElectionOptions::seekingTimeout, so that the loss of one does no harm.
@@ -443,28 +442,20 @@
                                   std::vector<StateChange> changes)
 {
     const bool isDifference = push.difference_parts() > 0;
-    const std::uint32_t parts = isDifference ? push.difference_parts() : push.parts();
-    const std::uint32_t part = isDifference ? push.difference_part() : push.part();
-    if (parts > MaxParts || part >= parts) {
-        return;
-    }
     KindState &state = m_kinds.at(kind);
-    IncomingParts &incoming = state.incoming;
-    if (incoming.from != from || incoming.revision != push.revision() || incoming.isDifference != isDifference) {
-        incoming = {.from = from, .revision = push.revision(), .isDifference = isDifference, .parts = {}};
-    }
-    incoming.parts[part] = std::move(changes);
-    if (incoming.parts.size() < parts) {
+    std::optional<std::vector<StateChange>> all =
+        state.incoming.add({.from = from,
+                            .revision = Revision(push.revision()),
+                            .isDifference = isDifference,
+                            .part = isDifference ? push.difference_part() : push.part(),
+                            .parts = isDifference ? push.difference_parts() : push.parts(),
+                            .changes = std::move(changes)});
+    if (!all) {
         state.pulls.recordPart(ProcessClock::now());
         return;
     }
     state.pulls.reset();
-    std::vector<StateChange> all;
-    for (auto &[number, list] : incoming.parts) {
-        std::move(list.begin(), list.end(), std::back_inserter(all));
-    }
-    incoming = {};
-    applyParts(kind, push, std::move(all));
+    applyParts(kind, push, std::move(*all));
 }
 
 void StateReplicator::applyParts(StateKind kind, const Wire::StatePush &lastPart, std::vector<StateChange> all)
--- a/src/edge/statereplicator.h
+++ b/src/edge/statereplicator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/fleet.h"
+#include "edge/partcollector.h"
 
 #include <filbertmount/edge/pullbackoff.h>
 #include <filbertmount/edge/readerelection.h>
@@ -49,14 +50,6 @@
     void tick(Instant now);
 
 private:
-    /** A set of objects or changes that is being received in parts. */
-    struct IncomingParts {
-        InstanceId from;
-        std::uint64_t revision = 0;
-        bool isDifference = false;
-        std::map<std::uint32_t, std::vector<StateChange>> parts;
-    };
-
     /** State of the replication of one kind. */
     struct KindState {
         ReaderElection election;
@@ -69,7 +62,7 @@
         PullBackoff pulls;
         /** Whether a large state was last fetched by a single listing; the next fetch is a pull, in case the listing failed. */
         bool wasLastFetchListing = false;
-        IncomingParts incoming;
+        PartCollector incoming;
     };
 
     void setHandlers();
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -116,24 +116,6 @@
     runEffects(effects);
 }
 
-void Router::setUpstreamState(const ServiceName &name, const UpstreamId &upstream, UpstreamState state)
-{
-    DeferredEffects effects;
-    {
-        const absl::ReaderMutexLock lock(&m_mutex);
-        const std::shared_ptr<Service> service = find(name);
-        if (!service) {
-            return;
-        }
-        const absl::MutexLock serviceLock(&service->mutex);
-        if (const auto index = service->router.table().find(upstream.value())) {
-            service->router.setUpstreamState(*index, state, now(), service->output);
-        }
-        collectOutput(*service, effects);
-    }
-    runEffects(effects);
-}
-
 void Router::setMembers(const std::vector<InstanceId> &members, const std::vector<InstanceId> &dispatchers)
 {
     DeferredEffects effects;
--- a/src/routing/routerreports.cpp
+++ b/src/routing/routerreports.cpp
@@ -2,7 +2,8 @@
 
 namespace Filbertmount {
 
-void Router::recordPace(const ServiceName &name, const UpstreamId &upstream, double pace)
+template<class Action>
+void Router::updateUpstream(const ServiceName &name, const UpstreamId &upstream, Action action)
 {
     DeferredEffects effects;
     {
@@ -13,32 +14,35 @@
         }
         const absl::MutexLock serviceLock(&service->mutex);
         if (const auto index = service->router.table().find(upstream.value())) {
-            service->router.recordPace(*index, pace, now(), service->output);
+            action(*service, *index);
         }
         collectOutput(*service, effects);
     }
     runEffects(effects);
 }
 
+void Router::setUpstreamState(const ServiceName &name, const UpstreamId &upstream, UpstreamState state)
+{
+    updateUpstream(name, upstream, [&](Service &service, UpstreamIndex index) {
+        service.router.setUpstreamState(index, state, now(), service.output);
+    });
+}
+
+void Router::recordPace(const ServiceName &name, const UpstreamId &upstream, double pace)
+{
+    updateUpstream(name, upstream, [&](Service &service, UpstreamIndex index) {
+        service.router.recordPace(index, pace, now(), service.output);
+    });
+}
+
 void Router::recordSignals(const ServiceName &name, const UpstreamId &upstream, const UpstreamSignals &signals)
 {
     if (!signals.draining && !signals.pause) {
         return;
     }
-    DeferredEffects effects;
-    {
-        const absl::ReaderMutexLock lock(&m_mutex);
-        const std::shared_ptr<Service> service = find(name);
-        if (!service) {
-            return;
-        }
-        const absl::MutexLock serviceLock(&service->mutex);
-        if (const auto index = service->router.table().find(upstream.value())) {
-            service->router.recordSignals(*index, signals, now(), service->output);
-        }
-        collectOutput(*service, effects);
-    }
-    runEffects(effects);
+    updateUpstream(name, upstream, [&](Service &service, UpstreamIndex index) {
+        service.router.recordSignals(index, signals, now(), service.output);
+    });
 }
 
 std::vector<std::pair<ServiceName, RoutedUpstream>> Router::upstreamsToPoll(const PacePollingOptions &polling) const
