Include what the header of deferred signals needs

Cause: the header uses a braced list in a loop without <initializer_list>, so a source that includes it first did not compile by itself, which the linter checks. Ruled out: other new headers; the analyzer was run on the new sources alone and found nothing more. Change: one include.

--- a/src/edge/startupsignals.h
+++ b/src/edge/startupsignals.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <csignal>
+#include <initializer_list>
 
 namespace Filbertmount {
 
