--- a/src/edge/upstreamattempt.cpp
+++ b/src/edge/upstreamattempt.cpp
@@ -151,7 +151,7 @@
     const std::shared_ptr<UpstreamAttempt> self = shared_from_this();
     const AttemptEnd end = classify(result);
     const std::optional<UpstreamLoad> load = readLoad(result.response.headers);
-    // Another upstream that responds at the address says nothing about the one that the request was addressed to.
+    // A response of another upstream at the address does not describe the one that the request was addressed to.
     const UpstreamSignals signals = end == AttemptEnd::WrongUpstream
         ? UpstreamSignals()
         : readSignals(result.response, m_environment.dialect, m_placement.incarnation);
