--- a/include/filbertmount/edge/attemptdecision.h
+++ b/include/filbertmount/edge/attemptdecision.h
@@ -46,11 +46,11 @@
     Deliver,
     /** Send the request to another upstream, if the retry budget allows it. */
     Retry,
-    /** Tell the caller that the request was not run and may be sent again. */
+    /** Respond that the request was not run and may be sent again. */
     RefuseNotRun,
-    /** Tell the caller that the request may have run. */
+    /** Respond that the request may have run. */
     FailMayHaveRun,
-    /** Tell the caller that no response arrived in time. */
+    /** Respond that no response arrived in time. */
     FailTimedOut,
 };
 
--- a/src/admin/adminhandler.h
+++ b/src/admin/adminhandler.h
@@ -29,7 +29,7 @@
     [[nodiscard]] BlockingResponse timeline(const BlockingRequest &request) const;
     [[nodiscard]] BlockingResponse validate(const BlockingRequest &request) const;
     [[nodiscard]] BlockingResponse readDocument(const ServiceName &service) const;
-    /** Returns the document in force at this instance; @p reason says why the store could not be read. */
+    /** Returns the document in force at this instance; @p reason states why the store could not be read. */
     [[nodiscard]] BlockingResponse readCachedDocument(const ServiceName &service, const std::string &reason) const;
     [[nodiscard]] BlockingResponse history(const ServiceName &service) const;
     [[nodiscard]] BlockingResponse status(const ServiceName &service) const;
--- a/src/edge/partcollector.h
+++ b/src/edge/partcollector.h
@@ -21,18 +21,22 @@
     std::uint32_t part = 0;
     std::uint32_t parts = 1;
     std::vector<StateChange> changes;
+
+    /** Whether the numbers are consistent and the set has no more parts than any sender makes. */
+    [[nodiscard]] bool isValid() const
+    {
+        constexpr std::uint32_t maxParts = 4096;
+        return parts <= maxParts && part < parts;
+    }
 };
 
 /** Joins the parts of one set at a time; a part of another set discards those collected before. */
 class PartCollector
 {
 public:
-    /** Returns the complete set when @p received was its last missing part. */
+    /** Returns the complete set when @p received was its last missing part. @p received is valid. */
     std::optional<std::vector<StateChange>> add(ChangePart received)
     {
-        if (received.parts > MaxParts || received.part >= received.parts) {
-            return std::nullopt;
-        }
         if (m_from != received.from || m_revision != received.revision || m_isDifference != received.isDifference) {
             m_parts.clear();
             m_from = received.from;
@@ -52,8 +56,6 @@
     }
 
 private:
-    static constexpr std::uint32_t MaxParts = 4096;
-
     InstanceId m_from;
     Revision m_revision;
     bool m_isDifference = false;
--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -442,14 +442,17 @@
                                   std::vector<StateChange> changes)
 {
     const bool isDifference = push.difference_parts() > 0;
+    ChangePart received{.from = from,
+                        .revision = Revision(push.revision()),
+                        .isDifference = isDifference,
+                        .part = isDifference ? push.difference_part() : push.part(),
+                        .parts = isDifference ? push.difference_parts() : push.parts(),
+                        .changes = std::move(changes)};
+    if (!received.isValid()) {
+        return;
+    }
     KindState &state = m_kinds.at(kind);
-    std::optional<std::vector<StateChange>> all =
-        state.incoming.add({.from = from,
-                            .revision = Revision(push.revision()),
-                            .isDifference = isDifference,
-                            .part = isDifference ? push.difference_part() : push.part(),
-                            .parts = isDifference ? push.difference_parts() : push.parts(),
-                            .changes = std::move(changes)});
+    std::optional<std::vector<StateChange>> all = state.incoming.add(std::move(received));
     if (!all) {
         state.pulls.recordPart(ProcessClock::now());
         return;
