Keep possibly expired upstreams out of the replicated state

Cause: an instance whose own calls failed took this for an outage of the store, and kept upstreams that it found missing for the grace time of expired entries. It counted them among the objects of the store, so two instances at the same revision had different hashes, and each pulled the full state of the other; nothing told which state was right.

Change: kept upstreams are no part of the hash and of the listed objects. A deletion is sent with a mark that it may be an expiry; only an instance without any state adds such an upstream. Digests state since when the store has been reachable without an outage (StoreContact). An instance with contact takes a marked deletion for a removal at once; one without drops what it keeps when it hears of contact. This covers pushes, pulls, differences, full states, relays and the end of the grace time, which each instance now decides by itself. It also mends two findings with the same cause: a refused instance whose changes raised the revision of the others past a removal, and an instance that took a call long after an outage for the end of it. Each decision on a deleted entry is logged.

--- a/include/filbertmount/edge/sharedstate.h
+++ b/include/filbertmount/edge/sharedstate.h
@@ -4,6 +4,7 @@
 #include <filbertmount/routes/routeset.h>
 #include <filbertmount/routing/routedupstream.h>
 #include <filbertmount/types/failure.h>
+#include <filbertmount/types/instant.h>
 
 #include <cstdint>
 #include <optional>
@@ -74,11 +75,26 @@
     std::size_t unidentified = 0;
 };
 
+/**
+ * States that an upstream's entry may have expired because the upstream could not renew it during an outage of the store. The
+ * upstream stays in use until the end of a grace time. Durations, because instants are not comparable between processes.
+ */
+struct PossibleExpiry {
+    /** Rest of the grace time. */
+    Duration keepFor{0};
+    /** Time since the last response of the store before the outage, as seen by the instance that suspects the outage. */
+    Duration outageAge{0};
+
+    bool operator==(const PossibleExpiry &) const = default;
+};
+
 /** A new version of an object, or its deletion. */
 struct StateChange {
-    /** Of a deleted object, only name and revision are used. */
+    /** Of a deleted object, only name and revision are used; of a possibly expired one, the value is the last known. */
     StateObject object;
     bool isDeleted = false;
+    /** Set for a deletion that may be an expiry; without it, the object was deleted on purpose. */
+    std::optional<PossibleExpiry> expiry = {};
 };
 
 /** The changes that a watch returned; empty when the watch timed out without any. */
--- a/include/filbertmount/edge/statemirror.h
+++ b/include/filbertmount/edge/statemirror.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <filbertmount/edge/sharedstate.h>
+#include <filbertmount/edge/storecontact.h>
 #include <filbertmount/types/instant.h>
 
 #include <deque>
@@ -20,8 +21,41 @@
      * for this time after the outage, within which live upstreams renew theirs.
      */
     Duration expiredEntryGrace = std::chrono::milliseconds(2100);
-    /** An outage begins when no call to the store has received a response for this long. */
-    Duration outageAfter = std::chrono::milliseconds(1000);
+    StoreContactOptions contact;
+};
+
+/** Where an update comes from. */
+enum class StateSource : std::uint8_t {
+    Store,
+    /** Another instance, which marks deletions that may be expiries. */
+    Instance,
+};
+
+/** What became of an upstream whose entry the store no longer has. */
+enum class DeletionOutcome : std::uint8_t {
+    /** It was removed: it has left. */
+    Removed,
+    /** It stays in use until the end of the grace time, because its entry may have expired during an outage. */
+    Kept,
+    /** It was kept and is removed now, because another instance had contact with the store while its entry was deleted. */
+    NotExpired,
+    /** It was kept and is removed now, because it did not renew its entry within the grace time. */
+    NotRenewed,
+};
+
+/** Returns the name of @p outcome as it appears in logs. */
+std::string_view deletionOutcomeName(DeletionOutcome outcome);
+
+/** A decision on a deleted entry of an upstream, for the log. */
+struct DeletionDecision {
+    std::string upstream;
+    /** Revision of the deletion. */
+    Revision revision;
+    DeletionOutcome outcome = DeletionOutcome::Removed;
+    /** Whether the store's response or a message of another instance reported the deletion. */
+    StateSource source = StateSource::Store;
+    /** Of an upstream that is or was kept. */
+    std::optional<PossibleExpiry> expiry = {};
 };
 
 /** The effect of an update on the mirror. */
@@ -32,16 +66,11 @@
     bool haveInstancesChanged = false;
     /** Names of malformed objects, each with the reason; a revision of an object appears once. */
     std::vector<std::pair<std::string, std::string>> rejected;
+    std::vector<DeletionDecision> deletions;
 
     /** Returns the changes of @p kind, which is one that instances replicate: routes or upstreams. */
     [[nodiscard]] const std::vector<StateChange> &of(StateKind kind) const;
-};
-
-/** Where an update comes from. */
-enum class StateSource : std::uint8_t {
-    Store,
-    /** Another instance, which has already waited for expired entries to be renewed. */
-    Instance,
+    void append(MirrorChanges other);
 };
 
 /**
@@ -49,6 +78,11 @@
  *
  * Updates never replace newer data by older: of two revisions of an object the higher one is kept, a listing that is older
  * than the mirror is ignored, and a route set replaces only one with a lower version.
+ *
+ * Upstreams whose entry may have expired during an outage stay in use for a grace time, but the mirror no longer counts them
+ * among the objects of the store: they are not part of the hash, so mirrors at the same revision agree. A mirror that had a
+ * state before never adds such an upstream from a message of another instance, so a wrong suspicion of an outage cannot bring a
+ * removed upstream back.
  */
 class StateMirror
 {
@@ -61,6 +95,11 @@
                                Revision storeRevision,
                                Instant now,
                                StateSource source = StateSource::Store);
+    /**
+     * Applies all objects of another instance. Those that it keeps after a possible expiry are marked as deleted; the mirror adds
+     * them only if it has no state of @p kind yet.
+     */
+    MirrorChanges applyFullState(StateKind kind, std::vector<StateChange> objects, Revision storeRevision, Instant now);
     /** Applies @p changes and raises the revision of @p kind to the one stated with them. */
     MirrorChanges applyChanges(StateKind kind, const StateChanges &changes, Instant now, StateSource source = StateSource::Store);
     /**
@@ -70,7 +109,10 @@
     void advanceRevision(StateKind kind, Revision revision);
     /** Records whether the store responded to a call, to detect outages. */
     void recordStoreCall(bool hasResponded, Instant now);
-    /** Removes expired entries that were not renewed within the grace time. */
+    /** What is known about the reachability of the store; decides whether a deletion may be an expiry. */
+    [[nodiscard]] StoreContact &contact();
+    [[nodiscard]] const StoreContact &contact() const;
+    /** Removes kept upstreams whose grace time is over, or whose entry was deleted while another instance had contact. */
     MirrorChanges tick(Instant now);
 
     /** Null before the first valid route set. */
@@ -78,49 +120,77 @@
     /** Upstreams of all services, draining ones included. */
     [[nodiscard]] std::vector<UpstreamRecord> upstreams() const;
     [[nodiscard]] const std::map<std::string, StateObject> &instances() const;
-    /** All objects of @p kind; empty for kinds that instances do not replicate. */
-    [[nodiscard]] std::vector<StateChange> objects(StateKind kind) const;
+    /**
+     * All objects of @p kind, and as deletions the upstreams that are kept after a possible expiry; empty for kinds that
+     * instances do not replicate.
+     */
+    [[nodiscard]] std::vector<StateChange> objects(StateKind kind, Instant now) const;
     /**
      * Returns the changes of the upstreams after revision @p from, oldest first. Returns nothing when removals since then may
      * have been forgotten.
      */
-    [[nodiscard]] std::optional<std::vector<StateChange>> upstreamChangesSince(Revision from) const;
+    [[nodiscard]] std::optional<std::vector<StateChange>> upstreamChangesSince(Revision from, Instant now) const;
     /** Hash over all objects of @p kind, independent of the order in which they arrived. */
     [[nodiscard]] std::uint64_t hash(StateKind kind) const;
     /** Revision from which a watch of @p kind starts; empty before the first listing. */
     [[nodiscard]] std::optional<Revision> revision(StateKind kind) const;
 
 private:
+    /** Why an upstream stays in use although the store no longer has its entry. */
+    struct Expiry {
+        /** End of the grace time. */
+        Instant removeAt;
+        /** Last response of the store before the suspected outage. */
+        Instant lastContact;
+        /** When this instance learned of the deletion. */
+        Instant learnedAt;
+        StateSource source = StateSource::Store;
+    };
     struct UpstreamEntry {
         UpstreamRecord record;
+        /** Revision of the entry, or of its deletion while the upstream is kept. */
         Revision revision;
         /** Revision of the last change of the record; a renewal of the entry in the store raises only the revision. */
         Revision changedAt;
-        /** When the entry is removed; set once the store no longer lists it. */
-        std::optional<Instant> removeAt;
+        /** Set while the upstream is kept after the deletion of its entry. */
+        std::optional<Expiry> expiry;
         std::uint64_t hash = 0;
     };
+    /** A reported deletion. */
+    struct Deletion {
+        std::string name;
+        Revision revision;
+        StateSource source = StateSource::Store;
+        /** Of a report of another instance that suspects an outage. */
+        std::optional<PossibleExpiry> expiry;
+    };
 
     void apply(StateKind kind, StateObject object, MirrorChanges &changes);
     /** Adds a malformed object to @p changes unless the same revision of it was rejected before. */
     void reject(const StateObject &object, const std::string &reason, MirrorChanges &changes);
     void applyRoutes(StateObject object, MirrorChanges &changes);
     void applyUpstream(StateObject object, MirrorChanges &changes);
-    void
-    remove(StateKind kind, const std::string &name, Revision revision, bool mayBeExpired, Instant now, MirrorChanges &changes);
-    void removeUpstream(const std::string &name, Revision revision, bool mayBeExpired, Instant now, MirrorChanges &changes);
-    std::map<std::string, UpstreamEntry>::iterator eraseUpstream(std::map<std::string, UpstreamEntry>::iterator entry,
-                                                                 Revision revision);
+    void remove(StateKind kind, const Deletion &deletion, Instant now, MirrorChanges &changes);
+    void removeUpstream(const Deletion &deletion, Instant now, MirrorChanges &changes);
+    /** Returns why @p entry is kept after @p deletion; empty if it is removed at once. */
+    [[nodiscard]] std::optional<Expiry> expiryOf(const UpstreamEntry &entry, const Deletion &deletion, Instant now) const;
+    /** Adds upstreams that another instance keeps. */
+    void addKeptUpstreams(std::vector<StateChange> kept, Instant now, MirrorChanges &changes);
+    void rememberRemoval(const std::string &name, Revision revision);
     [[nodiscard]] std::vector<std::string> namesOf(StateKind kind) const;
-    /** Whether upstreams may have been unable to renew their entries: during an outage and the grace time after it. */
-    [[nodiscard]] bool isOutageOrGrace(Instant now) const;
+    /** Whether @p name is an upstream that stays in use after the deletion of its entry. */
+    [[nodiscard]] bool isKept(StateKind kind, const std::string &name) const;
+    [[nodiscard]] static PossibleExpiry toPossibleExpiry(const Expiry &expiry, Instant now);
+    [[nodiscard]] static StateChange listedObject(const std::string &name, const UpstreamEntry &entry);
+    /** The deletion of an entry whose upstream is kept, as it is sent to other instances. */
+    [[nodiscard]] static StateChange keptDeletion(const std::string &name, const UpstreamEntry &entry, Instant now);
 
     StateMirrorOptions m_options;
     std::shared_ptr<const RouteIndex> m_routes;
     std::string m_routesName;
     Revision m_routesRevision;
     std::map<std::string, UpstreamEntry> m_upstreams;
-    /** Sum of the hashes of all entries in m_upstreams. */
+    /** Sum of the hashes of all entries in m_upstreams that the store has. */
     std::uint64_t m_upstreamsHash = 0;
     /** The last removals, oldest first. */
     std::deque<std::pair<std::string, Revision>> m_removals;
@@ -130,9 +200,7 @@
     /** Revisions of the malformed objects that were rejected most recently, by name. */
     std::map<std::string, Revision> m_rejected;
     std::map<StateKind, Revision> m_revisions;
-    std::optional<Instant> m_noResponseSince;
-    bool m_isOutage = false;
-    std::optional<Instant> m_outageEndedAt;
+    StoreContact m_contact;
 };
 
 } // namespace Filbertmount
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -106,6 +106,24 @@
     return static_cast<std::size_t>(std::max(MinCallerSessions, settings.descriptors - ReservedDescriptors));
 }
 
+double toMilliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+void logDeletion(const DeletionDecision &deletion)
+{
+    const PossibleExpiry expiry = deletion.expiry.value_or(PossibleExpiry());
+    logLine(LogLevel::Info,
+            "the entry of an upstream was deleted",
+            {{.name = "upstream", .value = deletion.upstream},
+             {.name = "revision", .value = static_cast<std::int64_t>(deletion.revision.value())},
+             {.name = "source", .value = std::string(deletion.source == StateSource::Store ? "store" : "instance")},
+             {.name = "outcome", .value = std::string(deletionOutcomeName(deletion.outcome))},
+             {.name = "keep_ms", .value = toMilliseconds(expiry.keepFor)},
+             {.name = "outage_age_ms", .value = toMilliseconds(expiry.outageAge)}});
+}
+
 } // namespace
 
 EdgeServer::EdgeServer(IoLoop &loop, EdgeSettings settings, HttpDialect dialect)
@@ -221,7 +239,7 @@
     if (gap > SuspensionThreshold) {
         logLine(LogLevel::Warning,
                 "the process did not run for a while; reading the store again",
-                {{.name = "gap_ms", .value = std::chrono::duration<double, std::milli>(gap).count()}});
+                {{.name = "gap_ms", .value = toMilliseconds(gap)}});
         if (m_onResume) {
             m_onResume();
         }
@@ -236,9 +254,7 @@
     if (m_ticks % TicksPerMaintenance == 0) {
         m_connectionPool.closeExpired(now);
         m_crashGuard.tick(now);
-        const MirrorChanges changes = m_mirror.tick(now);
-        onStateChange(changes);
-        m_replicator.publishChanges(changes, now);
+        onStateChange(m_mirror.tick(now));
         if (instanceCount() != m_configuredInstances) {
             configureServices();
         }
@@ -256,6 +272,9 @@
                 {{.name = "object", .value = name}, {.name = "reason", .value = reason}});
         m_metrics.counter(MetricNames::RejectedObjects, {}).Increment();
     }
+    for (const DeletionDecision &deletion : changes.deletions) {
+        logDeletion(deletion);
+    }
     if (!changes.routes.empty()) {
         applyRoutes();
     }
@@ -400,7 +419,7 @@
     logLine(LogLevel::Info,
             "shut down",
             {{.name = "unanswered", .value = static_cast<std::int64_t>(pending)},
-             {.name = "elapsed_ms", .value = std::chrono::duration<double, std::milli>(elapsed).count()}});
+             {.name = "elapsed_ms", .value = toMilliseconds(elapsed)}});
     m_callerListener.closeAll();
     const std::function<void()> done = m_onShutDownDone;
     done();
--- a/src/edge/statemirror.cpp
+++ b/src/edge/statemirror.cpp
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace Filbertmount {
 
@@ -32,33 +33,67 @@
 
 } // namespace
 
+std::string_view deletionOutcomeName(DeletionOutcome outcome)
+{
+    switch (outcome) {
+    case DeletionOutcome::Removed:
+        return "removed";
+    case DeletionOutcome::Kept:
+        return "kept";
+    case DeletionOutcome::NotExpired:
+        return "not-expired";
+    case DeletionOutcome::NotRenewed:
+        return "not-renewed";
+    }
+    return "unknown";
+}
+
 const std::vector<StateChange> &MirrorChanges::of(StateKind kind) const
 {
     return kind == StateKind::Routes ? routes : upstreams;
 }
 
+void MirrorChanges::append(MirrorChanges other)
+{
+    const auto moveTo = [](auto &source, auto &target) {
+        std::move(source.begin(), source.end(), std::back_inserter(target));
+    };
+    moveTo(other.routes, routes);
+    moveTo(other.upstreams, upstreams);
+    moveTo(other.rejected, rejected);
+    moveTo(other.deletions, deletions);
+    haveInstancesChanged = haveInstancesChanged || other.haveInstancesChanged;
+}
+
 StateMirror::StateMirror(StateMirrorOptions options)
     : m_options(options)
+    , m_contact(options.contact)
 {
 }
 
 void StateMirror::recordStoreCall(bool hasResponded, Instant now)
 {
     if (hasResponded) {
-        if (m_isOutage) {
-            m_outageEndedAt = now;
-        }
-        m_isOutage = false;
-        m_noResponseSince.reset();
-        return;
+        m_contact.recordResponse(now);
+    } else {
+        m_contact.recordFailure(now);
     }
-    m_noResponseSince = m_noResponseSince.value_or(now);
-    m_isOutage = m_isOutage || now - *m_noResponseSince >= m_options.outageAfter;
 }
 
-bool StateMirror::isOutageOrGrace(Instant now) const
+StoreContact &StateMirror::contact()
+{
+    return m_contact;
+}
+
+const StoreContact &StateMirror::contact() const
 {
-    return m_isOutage || (m_outageEndedAt && now - *m_outageEndedAt < m_options.expiredEntryGrace);
+    return m_contact;
+}
+
+bool StateMirror::isKept(StateKind kind, const std::string &name) const
+{
+    const auto entry = m_upstreams.find(name);
+    return kind == StateKind::Upstreams && entry != m_upstreams.end() && entry->second.expiry;
 }
 
 std::vector<std::string> StateMirror::namesOf(StateKind kind) const
@@ -93,8 +128,9 @@
         listed.insert(object.name);
     }
     for (const std::string &name : namesOf(kind)) {
-        if (!listed.contains(name)) {
-            remove(kind, name, storeRevision, source == StateSource::Store, now, changes);
+        // The listing says nothing new on an upstream that is kept because its entry is gone.
+        if (!listed.contains(name) && !isKept(kind, name)) {
+            remove(kind, {.name = name, .revision = storeRevision, .source = source, .expiry = {}}, now, changes);
         }
     }
     for (StateObject &object : objects) {
@@ -107,12 +143,48 @@
     return changes;
 }
 
+MirrorChanges StateMirror::applyFullState(StateKind kind, std::vector<StateChange> objects, Revision storeRevision, Instant now)
+{
+    const std::optional<Revision> known = revision(kind);
+    if (known && storeRevision < *known) {
+        return {};
+    }
+    std::vector<StateObject> listed;
+    std::vector<StateChange> kept;
+    for (StateChange &object : objects) {
+        if (object.isDeleted) {
+            kept.push_back(std::move(object));
+        } else {
+            listed.push_back(std::move(object.object));
+        }
+    }
+    MirrorChanges changes;
+    for (const StateChange &deletion : kept) {
+        remove(kind,
+               {.name = deletion.object.name,
+                .revision = deletion.object.revision,
+                .source = StateSource::Instance,
+                .expiry = deletion.expiry},
+               now,
+               changes);
+    }
+    MirrorChanges listing = applyListing(kind, std::move(listed), storeRevision, now, StateSource::Instance);
+    changes.append(std::move(listing));
+    if (!known && kind == StateKind::Upstreams) {
+        addKeptUpstreams(std::move(kept), now, changes);
+    }
+    return changes;
+}
+
 MirrorChanges StateMirror::applyChanges(StateKind kind, const StateChanges &received, Instant now, StateSource source)
 {
     MirrorChanges changes;
     for (const StateChange &change : received.changes) {
         if (change.isDeleted) {
-            remove(kind, change.object.name, change.object.revision, source == StateSource::Store, now, changes);
+            remove(kind,
+                   {.name = change.object.name, .revision = change.object.revision, .source = source, .expiry = change.expiry},
+                   now,
+                   changes);
         } else {
             apply(kind, change.object, changes);
         }
@@ -182,84 +254,163 @@
     }
     const auto &record = std::get<UpstreamRecord>(object.value);
     const std::uint64_t hash = hashOf(record);
-    const bool isSame = isKnown && known->second.hash == hash;
-    m_upstreamsHash += hash - (isKnown ? known->second.hash : 0);
+    const bool isListed = isKnown && !known->second.expiry;
+    const bool isSame = isListed && known->second.hash == hash;
+    m_upstreamsHash += hash - (isListed ? known->second.hash : 0);
     m_upstreams[object.name] = {.record = record,
                                 .revision = object.revision,
                                 .changedAt = isSame ? known->second.changedAt : object.revision,
-                                .removeAt = {},
+                                .expiry = {},
                                 .hash = hash};
     if (!isSame) {
         changes.upstreams.push_back({.object = std::move(object), .isDeleted = false});
     }
 }
 
-void StateMirror::remove(StateKind kind,
-                         const std::string &name,
-                         Revision revision,
-                         bool mayBeExpired,
-                         Instant now,
-                         MirrorChanges &changes)
+void StateMirror::remove(StateKind kind, const Deletion &deletion, Instant now, MirrorChanges &changes)
 {
     switch (kind) {
     case StateKind::Routes:
         // Route sets are only ever replaced, so a deletion is an error and the current routes stay in use.
-        changes.rejected.emplace_back(name, "the route set was deleted");
+        changes.rejected.emplace_back(deletion.name, "the route set was deleted");
         break;
     case StateKind::Upstreams:
-        removeUpstream(name, revision, mayBeExpired, now, changes);
+        removeUpstream(deletion, now, changes);
         break;
     case StateKind::Instances:
-        changes.haveInstancesChanged = m_instances.erase(name) > 0 || changes.haveInstancesChanged;
+        changes.haveInstancesChanged = m_instances.erase(deletion.name) > 0 || changes.haveInstancesChanged;
         break;
     }
 }
 
-void StateMirror::removeUpstream(const std::string &name,
-                                 Revision revision,
-                                 bool mayBeExpired,
-                                 Instant now,
-                                 MirrorChanges &changes)
+void StateMirror::removeUpstream(const Deletion &deletion, Instant now, MirrorChanges &changes)
 {
-    const auto entry = m_upstreams.find(name);
-    if (entry == m_upstreams.end() || revision < entry->second.revision) {
+    const auto entry = m_upstreams.find(deletion.name);
+    if (entry == m_upstreams.end()) {
         return;
     }
-    // An upstream that was draining has left and will not renew its entry.
-    if (mayBeExpired && isOutageOrGrace(now) && !entry->second.record.isDraining) {
-        const Instant endedAt = m_isOutage || !m_outageEndedAt ? now : *m_outageEndedAt;
-        entry->second.removeAt = entry->second.removeAt.value_or(endedAt + m_options.expiredEntryGrace);
-        entry->second.revision = revision;
+    const bool isKept = entry->second.expiry.has_value();
+    const bool isOlder = deletion.revision < (isKept ? entry->second.changedAt : entry->second.revision);
+    // Only an instance that had contact with the store meanwhile reports a deletion without a possible expiry.
+    const bool isNews = !isKept || (deletion.source == StateSource::Instance && !deletion.expiry);
+    if (isOlder || !isNews) {
         return;
     }
-    eraseUpstream(entry, revision);
-    changes.upstreams.push_back(removalOf(name, revision));
+    if (!isKept) {
+        m_upstreamsHash -= entry->second.hash;
+        rememberRemoval(deletion.name, deletion.revision);
+    }
+    entry->second.revision = std::max(entry->second.revision, deletion.revision);
+    entry->second.expiry = expiryOf(entry->second, deletion, now);
+    DeletionDecision decision{.upstream = deletion.name, .revision = deletion.revision, .source = deletion.source};
+    if (entry->second.expiry) {
+        changes.upstreams.push_back(keptDeletion(deletion.name, entry->second, now));
+        decision.outcome = DeletionOutcome::Kept;
+        decision.expiry = toPossibleExpiry(*entry->second.expiry, now);
+    } else {
+        changes.upstreams.push_back(removalOf(deletion.name, deletion.revision));
+        m_upstreams.erase(entry);
+    }
+    changes.deletions.push_back(std::move(decision));
+}
+
+std::optional<StateMirror::Expiry> StateMirror::expiryOf(const UpstreamEntry &entry, const Deletion &deletion, Instant now) const
+{
+    // An upstream that was draining has left and will not renew its entry.
+    if (entry.record.isDraining) {
+        return std::nullopt;
+    }
+    Expiry expiry{.removeAt = now + m_options.expiredEntryGrace,
+                  .lastContact = m_contact.lastOutageStart(),
+                  .learnedAt = now,
+                  .source = deletion.source};
+    if (deletion.source == StateSource::Instance) {
+        if (!deletion.expiry || m_contact.covers(now - deletion.expiry->outageAge, now)) {
+            return std::nullopt;
+        }
+        expiry.removeAt = now + std::min(deletion.expiry->keepFor, m_options.expiredEntryGrace);
+        expiry.lastContact = now - deletion.expiry->outageAge;
+        return expiry;
+    }
+    if (m_contact.isOutage()) {
+        return expiry;
+    }
+    const std::optional<Instant> outageEndedAt = m_contact.outageEndedAt();
+    if (!outageEndedAt || now - *outageEndedAt >= m_options.expiredEntryGrace) {
+        return std::nullopt;
+    }
+    expiry.removeAt = *outageEndedAt + m_options.expiredEntryGrace;
+    return expiry;
 }
 
-std::map<std::string, StateMirror::UpstreamEntry>::iterator
-StateMirror::eraseUpstream(std::map<std::string, UpstreamEntry>::iterator entry, Revision revision)
+void StateMirror::addKeptUpstreams(std::vector<StateChange> kept, Instant now, MirrorChanges &changes)
 {
-    m_removals.emplace_back(entry->first, revision);
+    for (StateChange &change : kept) {
+        const auto *record = std::get_if<UpstreamRecord>(&change.object.value);
+        if (record == nullptr || !change.expiry || m_upstreams.contains(change.object.name)) {
+            continue;
+        }
+        UpstreamEntry entry{.record = *record,
+                            .revision = change.object.revision,
+                            .changedAt = change.object.revision,
+                            .expiry = {},
+                            .hash = hashOf(*record)};
+        const Deletion deletion{.name = change.object.name,
+                                .revision = change.object.revision,
+                                .source = StateSource::Instance,
+                                .expiry = change.expiry};
+        entry.expiry = expiryOf(entry, deletion, now);
+        if (entry.expiry) {
+            changes.upstreams.push_back(keptDeletion(deletion.name, entry, now));
+            m_upstreams.emplace(deletion.name, std::move(entry));
+        }
+    }
+}
+
+void StateMirror::rememberRemoval(const std::string &name, Revision revision)
+{
+    m_removals.emplace_back(name, revision);
     if (m_removals.size() > MaxRememberedRemovals) {
         m_removalsSince = std::max(m_removalsSince.value_or(Revision()), m_removals.front().second);
         m_removals.pop_front();
     }
-    m_upstreamsHash -= entry->second.hash;
-    return m_upstreams.erase(entry);
+}
+
+PossibleExpiry StateMirror::toPossibleExpiry(const Expiry &expiry, Instant now)
+{
+    return {.keepFor = std::max(Duration::zero(), expiry.removeAt - now), .outageAge = now - expiry.lastContact};
+}
+
+StateChange StateMirror::listedObject(const std::string &name, const UpstreamEntry &entry)
+{
+    return {.object = {.name = name, .revision = entry.revision, .value = entry.record}, .isDeleted = false};
+}
+
+StateChange StateMirror::keptDeletion(const std::string &name, const UpstreamEntry &entry, Instant now)
+{
+    return {.object = {.name = name, .revision = entry.revision, .value = entry.record},
+            .isDeleted = true,
+            .expiry = toPossibleExpiry(*entry.expiry, now)};
 }
 
 MirrorChanges StateMirror::tick(Instant now)
 {
     MirrorChanges changes;
-    if (m_isOutage) {
-        return changes;
-    }
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
-        const bool isGraceOver = entry->second.removeAt && now >= *entry->second.removeAt;
-        if (isGraceOver) {
-            changes.upstreams.push_back(removalOf(entry->first, entry->second.revision));
+        const std::optional<Expiry> &expiry = entry->second.expiry;
+        const bool isNotExpired = expiry && m_contact.covers(expiry->lastContact, expiry->learnedAt);
+        const bool isGraceOver = expiry && !m_contact.isOutage() && now >= expiry->removeAt;
+        if (!isNotExpired && !isGraceOver) {
+            ++entry;
+            continue;
         }
-        entry = isGraceOver ? eraseUpstream(entry, entry->second.revision) : std::next(entry);
+        changes.upstreams.push_back(removalOf(entry->first, entry->second.revision));
+        changes.deletions.push_back({.upstream = entry->first,
+                                     .revision = entry->second.revision,
+                                     .outcome = isNotExpired ? DeletionOutcome::NotExpired : DeletionOutcome::NotRenewed,
+                                     .source = expiry->source,
+                                     .expiry = toPossibleExpiry(*expiry, now)});
+        entry = m_upstreams.erase(entry);
     }
     return changes;
 }
@@ -284,7 +435,7 @@
     return m_instances;
 }
 
-std::vector<StateChange> StateMirror::objects(StateKind kind) const
+std::vector<StateChange> StateMirror::objects(StateKind kind, Instant now) const
 {
     std::vector<StateChange> objects;
     if (kind == StateKind::Routes && m_routes) {
@@ -293,13 +444,13 @@
     }
     if (kind == StateKind::Upstreams) {
         for (const auto &[name, entry] : m_upstreams) {
-            objects.push_back({.object = {.name = name, .revision = entry.revision, .value = entry.record}, .isDeleted = false});
+            objects.push_back(entry.expiry ? keptDeletion(name, entry, now) : listedObject(name, entry));
         }
     }
     return objects;
 }
 
-std::optional<std::vector<StateChange>> StateMirror::upstreamChangesSince(Revision from) const
+std::optional<std::vector<StateChange>> StateMirror::upstreamChangesSince(Revision from, Instant now) const
 {
     if (!m_removalsSince || from < *m_removalsSince) {
         return std::nullopt;
@@ -311,8 +462,11 @@
         }
     }
     for (const auto &[name, entry] : m_upstreams) {
-        if (from < entry.changedAt) {
-            changes.push_back({.object = {.name = name, .revision = entry.revision, .value = entry.record}, .isDeleted = false});
+        if (entry.expiry && from < entry.revision) {
+            changes.push_back(keptDeletion(name, entry, now));
+        }
+        if (!entry.expiry && from < entry.changedAt) {
+            changes.push_back(listedObject(name, entry));
         }
     }
     std::stable_sort(changes.begin(), changes.end(), [](const StateChange &left, const StateChange &right) {
--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -1,6 +1,7 @@
 #include "edge/statereplicator.h"
 
 #include "edge/statewire.h"
+#include "peer/wiretime.h"
 
 #include <filbertmount/telemetry/log.h>
 
@@ -55,8 +56,11 @@
     digest.set_kind(*toWire(kind));
     digest.set_revision(m_mirror.revision(kind).value_or(Revision()).value());
     digest.set_hash(m_mirror.hash(kind));
-    const Duration age = now - m_kinds.at(kind).confirmedAt.value_or(now);
-    digest.set_age_us(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(age).count()));
+    const Instant confirmedAt = m_kinds.at(kind).confirmedAt.value_or(now);
+    digest.set_age_us(toMicroseconds(now - confirmedAt));
+    if (const std::optional<ContactSpan> &span = m_mirror.contact().span()) {
+        digest.set_contact_us(toMicroseconds(confirmedAt - span->since));
+    }
     digest.set_large(isLarge(kind));
     return body;
 }
@@ -180,15 +184,6 @@
     }
 }
 
-void StateReplicator::publishChanges(const MirrorChanges &changes, Instant now)
-{
-    const bool isReader = m_kinds.at(StateKind::Upstreams).election.isReading();
-    if (isReader && !changes.upstreams.empty()) {
-        const Revision revision = m_mirror.revision(StateKind::Upstreams).value_or(Revision());
-        sendChanges(StateKind::Upstreams, revision, changes.upstreams, now);
-    }
-}
-
 bool StateReplicator::shouldRead(StateKind kind, Instant now)
 {
     return m_kinds.at(kind).election.updateRole(now);
@@ -199,6 +194,7 @@
     for (auto &[kind, state] : m_kinds) {
         state.election.forgetConfirmations();
     }
+    m_mirror.contact().forgetSpan();
 }
 
 void StateReplicator::followMembers()
@@ -310,7 +306,7 @@
 
 bool StateReplicator::sendDifference(const InstanceId &to, Revision base)
 {
-    const std::optional<std::vector<StateChange>> changes = m_mirror.upstreamChangesSince(base);
+    const std::optional<std::vector<StateChange>> changes = m_mirror.upstreamChangesSince(base, ProcessClock::now());
     if (!changes) {
         return false;
     }
@@ -338,7 +334,7 @@
 
 void StateReplicator::sendFullState(StateKind kind, const InstanceId &to)
 {
-    std::vector<Wire::StatePush> pushes = toPushes(kind, m_mirror.objects(kind));
+    std::vector<Wire::StatePush> pushes = toPushes(kind, m_mirror.objects(kind, ProcessClock::now()));
     logLine(LogLevel::Info,
             "sending the full state to another instance",
             {{.name = "kind", .value = std::string(stateKindName(kind))},
@@ -362,6 +358,8 @@
         return;
     }
     const Instant now = ProcessClock::now();
+    const Instant confirmedAt = now - fromMicroseconds(digest.age_us());
+    m_mirror.contact().recordSpan({.since = confirmedAt - fromMicroseconds(digest.contact_us()), .until = confirmedAt});
     const Revision theirs(digest.revision());
     const std::optional<Revision> own = m_mirror.revision(*kind);
     if (own && theirs < *own) {
@@ -372,7 +370,7 @@
         KindState &state = m_kinds.at(*kind);
         state.pulls.reset();
         state.wasLastFetchListing = false;
-        state.election.recordConfirmation(from, now - std::chrono::microseconds(digest.age_us()));
+        state.election.recordConfirmation(from, confirmedAt);
         return;
     }
     fetchNewerState(*kind, from, digest, now);
@@ -475,6 +473,10 @@
         }
         return;
     }
+    if (kind == StateKind::Upstreams) {
+        m_onChange(m_mirror.applyFullState(kind, std::move(all), revision, now));
+        return;
+    }
     std::vector<StateObject> objects;
     objects.reserve(all.size());
     for (StateChange &change : all) {
--- a/src/edge/statereplicator.h
+++ b/src/edge/statereplicator.h
@@ -40,11 +40,9 @@
      * @param before the mirror's revision before the response; empty before the first one
      */
     void onStoreResponse(StateKind kind, std::optional<Revision> before, const MirrorChanges &changes, Instant now);
-    /** Sends changes that no response from the store caused, such as the end of a grace time, if this instance is the reader. */
-    void publishChanges(const MirrorChanges &changes, Instant now);
     /** Whether this instance should read @p kind from the store now. */
     bool shouldRead(StateKind kind, Instant now);
-    /** Discards received confirmations after a suspension of the process, because their age is unknown. */
+    /** Discards received confirmations and contact after a suspension of the process, because their age is unknown. */
     void forgetConfirmations();
     /** Repeats digests and pulls; call about every 50 ms. */
     void tick(Instant now);
--- a/src/edge/statewire.cpp
+++ b/src/edge/statewire.cpp
@@ -142,6 +142,11 @@
     if (const auto *routes = std::get_if<RouteSet>(&change.object.value)) {
         write(*routes, *object.mutable_routes());
     }
+    if (change.expiry) {
+        Wire::PossibleExpiry &expiry = *object.mutable_expiry();
+        expiry.set_keep_us(toMicroseconds(change.expiry->keepFor));
+        expiry.set_outage_age_us(toMicroseconds(change.expiry->outageAge));
+    }
     return object;
 }
 
@@ -237,7 +242,11 @@
 {
     StateChange change{.object = {.name = object.name(), .revision = Revision(object.revision()), .value = MalformedObject()},
                        .isDeleted = object.deleted()};
-    if (object.deleted()) {
+    if (object.deleted() && object.has_expiry()) {
+        change.expiry = {.keepFor = fromMicroseconds(object.expiry().keep_us()),
+                         .outageAge = fromMicroseconds(object.expiry().outage_age_us())};
+    }
+    if (object.deleted() && !object.has_upstream()) {
         return change;
     }
     if (kind == StateKind::Upstreams && object.has_upstream()) {
--- a/tests/edge/statemirrortest.cpp
+++ b/tests/edge/statemirrortest.cpp
@@ -139,7 +139,7 @@
 {
     StateMirror mirror;
     mirror.applyListing(StateKind::Upstreams, {upstream("u1", 5), upstream("u2", 6), upstream("u3", 7)}, Revision(10), Start);
-    CHECK_FALSE(mirror.upstreamChangesSince(Revision(9)).has_value());
+    CHECK_FALSE(mirror.upstreamChangesSince(Revision(9), Start).has_value());
     StateMirror follower;
     follower.applyListing(StateKind::Upstreams, {upstream("u1", 5), upstream("u2", 6), upstream("u3", 7)}, Revision(10), Start);
 
@@ -153,11 +153,11 @@
                                      {.object = upstream("u4", 16)}},
                          .storeRevision = Revision(16)},
                         Start);
-    const auto changes = mirror.upstreamChangesSince(Revision(10));
+    const auto changes = mirror.upstreamChangesSince(Revision(10), Start);
     REQUIRE(changes.has_value());
     CHECK(changes->size() == 3);
     follower.applyChanges(
         StateKind::Upstreams, {.changes = *changes, .storeRevision = Revision(16)}, Start, StateSource::Instance);
     CHECK(follower.hash(StateKind::Upstreams) == mirror.hash(StateKind::Upstreams));
-    CHECK(mirror.upstreamChangesSince(Revision(16))->empty());
+    CHECK(mirror.upstreamChangesSince(Revision(16), Start)->empty());
 }
--- a/tests/edge/statereplicatortest.cpp
+++ b/tests/edge/statereplicatortest.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace Filbertmount;
 using namespace Filbertmount::TestSupport;
 using namespace std::chrono_literals;
@@ -95,6 +97,28 @@
     PeriodicTask m_tickTask;
 };
 
+/** Entries of upstreams, as the store lists them. */
+std::vector<StateObject> listing(std::initializer_list<int> numbers, std::uint64_t revision)
+{
+    std::vector<StateObject> objects;
+    for (const int number : numbers) {
+        const std::string id = "upstream-" + std::to_string(number);
+        objects.push_back(
+            {.name = id,
+             .revision = Revision(revision),
+             .value = UpstreamRecord{.id = UpstreamId(id), .service = ServiceName("shop"), .address = "10.0.0.1:80"}});
+    }
+    return objects;
+}
+
+bool hasUpstream(const Node &node, const std::string &id)
+{
+    const std::vector<UpstreamRecord> upstreams = node.mirror.upstreams();
+    return std::any_of(upstreams.begin(), upstreams.end(), [&id](const UpstreamRecord &record) {
+        return record.id == UpstreamId(id);
+    });
+}
+
 struct Pair {
     IoLoop loop{1};
     Node reader{loop, "127.0.0.31", {}};
@@ -215,3 +239,138 @@
         return pair.other.mirror.hash(StateKind::Upstreams) == pair.reader.mirror.hash(StateKind::Upstreams);
     }));
 }
+
+namespace {
+
+/** A pair whose instances both have upstreams 1 to 3 at revision 20; the reader has always had contact with the store. */
+struct PairWithUpstreams : Pair {
+    PairWithUpstreams()
+    {
+        const Instant now = ProcessClock::now();
+        for (const Duration age : {6000ms, 4000ms, 2000ms, 0ms}) {
+            reader.mirror.recordStoreCall(true, now - age);
+        }
+        reader.mirror.applyListing(StateKind::Upstreams, listing({1, 2, 3}, 20), Revision(20), now);
+        other.mirror.applyListing(StateKind::Upstreams, listing({1, 2, 3}, 20), Revision(20), now);
+    }
+
+    /** The other instance does not reach the store for three seconds. */
+    void cutOffOther()
+    {
+        const Instant now = ProcessClock::now();
+        other.mirror.recordStoreCall(true, now - 3500ms);
+        for (const Duration age : {3000ms, 2000ms, 1000ms, 0ms}) {
+            other.mirror.recordStoreCall(false, now - age);
+        }
+    }
+
+    /** The other instance reaches the store again and lists the upstreams 2 and 3. */
+    void returnOther(std::uint64_t revision)
+    {
+        const Instant now = ProcessClock::now();
+        const std::optional<Revision> before = other.mirror.revision(StateKind::Upstreams);
+        other.mirror.recordStoreCall(true, now);
+        const MirrorChanges changes =
+            other.mirror.applyListing(StateKind::Upstreams, listing({2, 3}, 20), Revision(revision), now);
+        other.replicator.onStoreResponse(StateKind::Upstreams, before, changes, now);
+    }
+
+    /** The store confirms the reader's state, whose digest goes to the other instance. */
+    void confirmReader()
+    {
+        const Instant now = ProcessClock::now();
+        reader.mirror.recordStoreCall(true, now);
+        reader.replicator.onStoreResponse(StateKind::Upstreams, reader.mirror.revision(StateKind::Upstreams), {}, now);
+    }
+
+    /** Runs both instances for @p time; returns whether @p node ever had @p id. */
+    bool hadUpstreamWithin(Duration time, const Node &node, const std::string &id)
+    {
+        const Instant end = ProcessClock::now() + time;
+        bool wasSeen = false;
+        runUntil(loop, [&] {
+            wasSeen = wasSeen || hasUpstream(node, id);
+            return ProcessClock::now() >= end;
+        });
+        return wasSeen;
+    }
+};
+
+} // namespace
+
+// Guards against review/3: an instance that was cut off kept removed upstreams, and the others pulled them from it.
+TEST_CASE("state replicator: an instance that was cut off does not bring removed upstreams back at others")
+{
+    PairWithUpstreams pair;
+    pair.cutOffOther();
+    pair.reader.mirror.applyListing(StateKind::Upstreams, listing({2, 3}, 20), Revision(21), ProcessClock::now());
+    REQUIRE_FALSE(hasUpstream(pair.reader, "upstream-1"));
+    SUBCASE("when its listing has the revision of the others")
+    {
+        pair.returnOther(21);
+    }
+    SUBCASE("when its listing has a later revision")
+    {
+        pair.returnOther(25);
+    }
+    CHECK_FALSE(pair.hadUpstreamWithin(700ms, pair.reader, "upstream-1"));
+    // The digest of the reader shows that only the other instance had no contact.
+    pair.confirmReader();
+    CHECK(runUntil(pair.loop, [&] {
+        pair.other.mirror.tick(ProcessClock::now());
+        return !hasUpstream(pair.other, "upstream-1");
+    }));
+}
+
+// Guards against a removal that a refused instance deferred, and that the others skipped because its push raised their revision.
+TEST_CASE("state replicator: an instance with contact to the store follows a removal that another one takes for an expiry")
+{
+    PairWithUpstreams pair;
+    pair.cutOffOther();
+    pair.returnOther(22);
+    CHECK(runUntil(pair.loop, [&] {
+        return !hasUpstream(pair.reader, "upstream-1");
+    }));
+    CHECK(pair.reader.mirror.revision(StateKind::Upstreams) == Revision(22));
+}
+
+// Guards against an instance that stopped its calls during an outage and took its end for the time of its next call, much later.
+TEST_CASE("state replicator: digests of others end an outage for an instance that no longer calls the store")
+{
+    PairWithUpstreams pair;
+    pair.other.mirror.recordStoreCall(false, ProcessClock::now() - 30s);
+    pair.other.mirror.recordStoreCall(false, ProcessClock::now() - 28s);
+    pair.confirmReader();
+    pair.hadUpstreamWithin(200ms, pair.other, "upstream-1");
+    pair.returnOther(22);
+    CHECK_FALSE(hasUpstream(pair.other, "upstream-1"));
+}
+
+// An outage of the store: upstreams whose entries expired stay in use on all instances, also on those that make no calls.
+TEST_CASE("state replicator: upstreams whose entries expired in an outage are kept by all instances until the grace time ends")
+{
+    Pair pair;
+    const Instant lastResponse = ProcessClock::now() - 8s;
+    for (Node *node : {&pair.reader, &pair.other}) {
+        node->mirror.recordStoreCall(true, lastResponse);
+        node->mirror.applyListing(StateKind::Upstreams, listing({1, 2, 3}, 20), Revision(20), lastResponse);
+    }
+    pair.reader.mirror.recordStoreCall(false, ProcessClock::now() - 7s);
+    pair.reader.mirror.recordStoreCall(false, ProcessClock::now() - 1s);
+    const Instant end = ProcessClock::now();
+    pair.reader.mirror.recordStoreCall(true, end);
+    const MirrorChanges changes = pair.reader.mirror.applyListing(StateKind::Upstreams, listing({3}, 20), Revision(30), end);
+    pair.reader.replicator.onStoreResponse(StateKind::Upstreams, Revision(20), changes, end);
+    REQUIRE(runUntil(pair.loop, [&] {
+        return pair.other.mirror.revision(StateKind::Upstreams) == Revision(30);
+    }));
+    for (Node *node : {&pair.reader, &pair.other}) {
+        node->mirror.tick(end + 2000ms);
+        CHECK(node->mirror.upstreams().size() == 3);
+    }
+    CHECK(pair.other.mirror.hash(StateKind::Upstreams) == pair.reader.mirror.hash(StateKind::Upstreams));
+    for (Node *node : {&pair.reader, &pair.other}) {
+        node->mirror.tick(ProcessClock::now() + 2100ms);
+        CHECK(node->mirror.upstreams().size() == 1);
+    }
+}
