Pass the strikes of crashing requests on to instances that missed them

Callers saw: after a rolling restart, a request that all instances had refused because it crashes upstreams ran again on each restarted instance; each crash also ended the other requests of that upstream (BUDGET).

Cause: strikes and quarantines are in the memory of each instance and were sent once, when a crash was seen. A new process got none of them; an instance that was cut off or lost the datagram missed them as well.

Each new process ran the request once and then refused it. Ruled out: lost strikes between live instances and an early end of the quarantine (instances that were not restarted never ran it again), and strikes that do not count because of the new id (one attempt on each new process).

Change: each instance regularly sends a hash of its strikes to one other, which responds with its strikes if they differ, in both daemons.

Test: "a request that crashed two upstreams is refused by an instance that starts later"; on the code before, three of its checks fail (the request runs and crashes a third upstream). Unit tests of ages, duplicates, clearings and invented origins. Not covered: all processes lost at the same moment; then the request crashes two more upstreams.

--- a/include/filbertmount/quarantine/crashguard.h
+++ b/include/filbertmount/quarantine/crashguard.h
@@ -33,6 +33,11 @@
     void ended(const CrashTicket &ticket);
 
     void receive(const InstanceId &from, const Wire::CrashStrike &message);
+    /** Applies the strikes that @p from knows; returns the number of new ones. */
+    std::size_t receiveHistory(const InstanceId &from, const Wire::CrashHistory &message);
+    /** See CrashQuarantine. */
+    [[nodiscard]] std::vector<Wire::CrashStrike> history() const;
+    [[nodiscard]] std::uint64_t historyHash() const;
     void tick(Instant now);
 
     /** Returns the number of quarantined fingerprints. */
--- a/include/filbertmount/quarantine/crashquarantine.h
+++ b/include/filbertmount/quarantine/crashquarantine.h
@@ -72,6 +72,10 @@
  * (a run under suspicion). It is quarantined, that is refused, when a run under suspicion crashes a different upstream
  * than another run did. Strikes from runs without suspicion do not suffice: when upstreams crash at the same time, as in the loss
  * of a zone, all requests that they ran get a strike.
+ *
+ * Strikes are kept in memory only. Each is sent once when it occurs; an instance that missed it, or that started later, gets it
+ * with the history of another one (see CrashHistorySync). The age of a strike is passed on with it, so it expires everywhere at
+ * about the same time.
  */
 class CrashQuarantine
 {
@@ -92,6 +96,18 @@
 
     /** Applies a strike of a peer or the clearing of its strikes. Ignores malformed, repeated and own messages. */
     void receive(const InstanceId &from, const Wire::CrashStrike &message, Instant now);
+    /**
+     * Returns all strikes that have not expired, those of the most recently struck requests first, up to a limit. A process that
+     * has just started, or that missed messages, learns from them what the others know.
+     */
+    [[nodiscard]] std::vector<Wire::CrashStrike> history(Instant now) const;
+    /** Returns a hash over the strikes of history(); 0 when there are none. */
+    [[nodiscard]] std::uint64_t historyHash(Instant now) const;
+    /**
+     * Applies strikes that @p from knows, also those of other origins, at the age that they state. Ignores malformed, known and
+     * expired ones, and those from before a success of the request. Returns the number of new ones.
+     */
+    std::size_t receiveHistory(const InstanceId &from, const Wire::CrashHistory &message, Instant now);
     /** Removes expired strikes, quarantines and successes. Must be called about once a second. */
     void tick(Instant now);
 
@@ -114,6 +130,10 @@
         UpstreamId upstream;
         /** The instance that ran the request. */
         InstanceId origin;
+        /** The instance that sent the strike to this one: the origin, or one that passed its history on. */
+        InstanceId reporter;
+        /** Number of the origin's message; identifies the strike together with the origin. */
+        std::uint64_t sequence = 0;
         /** The run started when strikes of the request were already known. */
         bool underSuspicion = false;
         Instant at;
@@ -124,6 +144,8 @@
         std::vector<Strike> strikes;
         /** Peers whose clearing was applied. Each may clear once, so that a faulty peer cannot hide a crashing request. */
         std::vector<InstanceId> clearedBy;
+        /** Time of the last clearing; strikes from before it are not applied again. */
+        std::optional<Instant> clearedAt;
         /** Number of the run under suspicion; 0 while there is none. */
         std::uint64_t run = 0;
         std::deque<RequestId> waiting;
@@ -138,12 +160,23 @@
     using Successes = std::list<std::pair<CrashFingerprint, Instant>>;
 
     void addStrike(const ServiceName &service, const CrashFingerprint &fingerprint, const Strike &strike);
+    /** Applies one strike of a history; returns whether it is new. */
+    bool receiveEntry(const InstanceId &from, const Wire::CrashStrike &message, Instant now);
+    /** Whether a strike of the request at @p time is no longer valid, because the request succeeded or was cleared later. */
+    [[nodiscard]] bool wasClearedSince(const CrashFingerprint &fingerprint, Instant time) const;
+    [[nodiscard]] bool isKnown(const CrashFingerprint &fingerprint, const InstanceId &origin, std::uint64_t sequence) const;
+    /** Calls @p visit with the fingerprint, suspect and strike of each strike that has not expired. */
+    template<class Visitor>
+    void visitStrikes(Instant now, Visitor visit) const;
     /**
      * Quarantines the request when its strikes suffice. After a recent success, they must also suffice when those of any one peer
      * are left out.
      */
     void updateQuarantine(const CrashFingerprint &fingerprint, Suspect &suspect, Instant now);
-    /** Returns whether a run under suspicion crashed a different upstream than another run; ignores those of @p excludedPeer. */
+    /**
+     * Returns whether a run under suspicion crashed a different upstream than another run; ignores those that @p excludedPeer ran
+     * or reported.
+     */
     static bool confirmsCrashes(const std::vector<Strike> &strikes, const InstanceId &excludedPeer);
     /** Returns whether confirmsCrashes() holds for each peer as the excluded one, because any single peer may be faulty. */
     [[nodiscard]] bool confirmsCrashesWithoutAnySinglePeer(const std::vector<Strike> &strikes) const;
@@ -151,7 +184,7 @@
     /** Admits the request that has waited longest. */
     void admitNextWaiting(const CrashFingerprint &fingerprint, Suspect &suspect);
     void clearStrikes(const CrashFingerprint &fingerprint);
-    void clearByPeer(const CrashFingerprint &fingerprint, const InstanceId &from);
+    void clearByPeer(const CrashFingerprint &fingerprint, const InstanceId &from, Instant now);
     void decideAllWaiting(const CrashFingerprint &fingerprint, Suspect &suspect, CrashAdmission admission);
     void evictOldestSuspectIfFull();
     void recordSuccess(const CrashFingerprint &fingerprint, Instant now);
@@ -159,6 +192,7 @@
     /** Records the sequence number of a message. Returns false for a repeated or very old one. */
     bool recordSequence(const InstanceId &origin, std::uint64_t sequence);
     void queueMessage(const CrashTicket &ticket, const Strike &strike, bool cleared);
+    static Wire::CrashStrike toWire(const ServiceName &service, const CrashFingerprint &fingerprint, const Strike &strike);
 
     const InstanceId m_self;
     const CrashQuarantineOptions m_options;
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -146,6 +146,7 @@
                        m_fleet.sendToAll(envelope);
                    },
                    {.maxSuccesses = MaxRememberedSuccesses})
+    , m_crashHistory(m_self.id, m_crashGuard, randomSeed())
     , m_crashCheck(loop)
     , m_responseBuffers(responseBufferBytes(m_settings))
     , m_probeLoop(loop, m_dialect, m_router, m_metrics, {.perSecond = probesPerSecond(m_settings)})
@@ -191,6 +192,14 @@
     m_fleet.setHandler(Wire::Body::kCrashStrike, [this](const InstanceId &from, const Wire::Body &body) {
         m_crashGuard.receive(from, body.crash_strike());
     });
+    m_fleet.setHandler(Wire::Body::kCrashHistoryPull, [this](const InstanceId &from, const Wire::Body &body) {
+        for (PeerMessage &message : m_crashHistory.onPull(from, body.crash_history_pull())) {
+            m_fleet.send(message.to, std::move(message.envelope));
+        }
+    });
+    m_fleet.setHandler(Wire::Body::kCrashHistory, [this](const InstanceId &from, const Wire::Body &body) {
+        m_crashHistory.onHistory(from, body.crash_history());
+    });
 }
 
 StateMirror &EdgeServer::mirror()
@@ -254,6 +263,9 @@
     if (m_ticks % TicksPerMaintenance == 0) {
         m_connectionPool.closeExpired(now);
         m_crashGuard.tick(now);
+        if (std::optional<PeerMessage> pull = m_crashHistory.tick(m_fleet.memberIds(), now)) {
+            m_fleet.send(pull->to, std::move(pull->envelope));
+        }
         onStateChange(m_mirror.tick(now));
         if (instanceCount() != m_configuredInstances) {
             configureServices();
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -10,6 +10,7 @@
 #include <filbertmount/edge/edgesettings.h>
 #include <filbertmount/edge/httpdialect.h>
 #include <filbertmount/edge/statemirror.h>
+#include <filbertmount/quarantine/crashhistorysync.h>
 
 #include <functional>
 #include <memory>
@@ -69,6 +70,7 @@
     Router m_router;
     ConnectionPool m_connectionPool;
     CrashGuard m_crashGuard;
+    CrashHistorySync m_crashHistory;
     CrashCheck m_crashCheck;
     RouteTimes m_routeTimes;
     BufferBudget m_responseBuffers;
--- a/src/instance/entryinstance.cpp
+++ b/src/instance/entryinstance.cpp
@@ -11,7 +11,7 @@
 #include <filbertmount/admin/adminport.h>
 #include <filbertmount/proxy/callerserver.h>
 #include <filbertmount/proxy/upstreamclient.h>
-#include <filbertmount/quarantine/crashguard.h>
+#include <filbertmount/quarantine/crashhistorysync.h>
 #include <filbertmount/replication/storedocument.h>
 #include <filbertmount/telemetry/log.h>
 
@@ -86,6 +86,7 @@
                          peers->sendToAll(body);
                      },
                      {})
+        , crashHistory(initialSettings.identity.id, crashGuard, randomSeed())
         , upstreamMonitor(
               {.self = initialSettings.identity.id, .seed = randomSeed(), .instanceLimit = initialSettings.limits.entryInstances},
               {.router = router, .client = client, .peers = *peers, .events = events})
@@ -110,7 +111,8 @@
                         .gossip = gossip,
                         .claims = claims ? &*claims : nullptr,
                         .upstreamMonitor = upstreamMonitor,
-                        .crashGuard = crashGuard});
+                        .crashGuard = crashGuard,
+                        .crashHistory = crashHistory});
     }
     State(const State &) = delete;
     State &operator=(const State &) = delete;
@@ -118,6 +120,7 @@
 
     Result<void> start();
     void tick();
+    void pullCrashHistory(Instant now);
     [[nodiscard]] ReadinessReport readiness();
 
     const InstanceSettings settings;
@@ -133,6 +136,7 @@
     Router router;
     ServiceDirectory directory;
     CrashGuard crashGuard;
+    CrashHistorySync crashHistory;
     /** Uses the client declared below, which is destroyed first and thereby ends the transfers that report to this object. */
     UpstreamMonitor upstreamMonitor;
     DocumentApplier documentApplier;
@@ -261,9 +265,23 @@
     documentApplier.applyChanges();
     upstreamMonitor.tick(now);
     crashGuard.tick(now);
+    pullCrashHistory(now);
     callers->tick(now);
 }
 
+void EntryInstance::State::pullCrashHistory(Instant now)
+{
+    std::vector<InstanceId> members;
+    for (const Member &member : peers->members()) {
+        members.push_back(member.id);
+    }
+    if (std::optional<PeerMessage> pull = crashHistory.tick(members, now)) {
+        PeerOutbox outbox;
+        outbox.push_back(std::move(*pull));
+        peers->send(std::move(outbox));
+    }
+}
+
 ReadinessReport EntryInstance::State::readiness()
 {
     if (draining) {
--- a/src/instance/peerlink.cpp
+++ b/src/instance/peerlink.cpp
@@ -2,7 +2,7 @@
 
 #include "instance/upstreammonitor.h"
 
-#include <filbertmount/quarantine/crashguard.h>
+#include <filbertmount/quarantine/crashhistorysync.h>
 
 #include <algorithm>
 #include <utility>
@@ -86,6 +86,12 @@
     m_dispatcher->setHandler(Body::kCrashStrike, [this](const InstanceId &from, const Body &body) {
         m_receivers->crashGuard.receive(from, body.crash_strike());
     });
+    m_dispatcher->setHandler(Body::kCrashHistoryPull, [this](const InstanceId &from, const Body &body) {
+        send(m_receivers->crashHistory.onPull(from, body.crash_history_pull()));
+    });
+    m_dispatcher->setHandler(Body::kCrashHistory, [this](const InstanceId &from, const Body &body) {
+        m_receivers->crashHistory.onHistory(from, body.crash_history());
+    });
     if (m_receivers->claims == nullptr) {
         return;
     }
--- a/src/instance/peerlink.h
+++ b/src/instance/peerlink.h
@@ -14,6 +14,7 @@
 namespace Filbertmount {
 
 class CrashGuard;
+class CrashHistorySync;
 class UpstreamMonitor;
 
 using StoreClaims = ClaimService<HttpObjectStore>;
@@ -36,6 +37,7 @@
         StoreClaims *claims = nullptr;
         UpstreamMonitor &upstreamMonitor;
         CrashGuard &crashGuard;
+        CrashHistorySync &crashHistory;
     };
 
     /** Opens the peer port. Messages received before connect() are dropped. */
--- a/src/quarantine/crashguard.cpp
+++ b/src/quarantine/crashguard.cpp
@@ -92,6 +92,27 @@
     });
 }
 
+std::size_t CrashGuard::receiveHistory(const InstanceId &from, const Wire::CrashHistory &message)
+{
+    std::size_t added = 0;
+    update([&](auto *) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        added = m_quarantine.receiveHistory(from, message, ProcessClock::now());
+    });
+    return added;
+}
+
+std::vector<Wire::CrashStrike> CrashGuard::history() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_quarantine.history(ProcessClock::now());
+}
+
+std::uint64_t CrashGuard::historyHash() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_quarantine.historyHash(ProcessClock::now());
+}
+
 void CrashGuard::tick(Instant now)
 {
     update([&](auto *) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
--- a/src/quarantine/crashquarantine.cpp
+++ b/src/quarantine/crashquarantine.cpp
@@ -1,8 +1,10 @@
 #include <filbertmount/quarantine/crashquarantine.h>
 
+#include <filbertmount/types/rendezvoushash.h>
 #include <filbertmount/types/sha256.h>
 
 #include <algorithm>
+#include <chrono>
 
 namespace Filbertmount {
 
@@ -13,6 +15,25 @@
 // Instances whose sequence numbers are kept. A further one clears all of them, which also drops instances that left.
 constexpr std::size_t MaxSequenceOrigins = 10'000;
 constexpr std::size_t MaxStrikesPerSuspect = 16;
+// Bounds the bytes that a history takes on the link of a small machine, about 50 KB.
+constexpr std::size_t MaxHistoryStrikes = 512;
+
+Duration ageOf(const Wire::CrashStrike &message)
+{
+    constexpr std::chrono::microseconds maxAge = std::chrono::hours(24);
+    const auto age = std::min<std::uint64_t>(message.age_us(), static_cast<std::uint64_t>(maxAge.count()));
+    return std::chrono::microseconds(age);
+}
+
+std::optional<CrashFingerprint> fingerprintOf(const Wire::CrashStrike &message)
+{
+    CrashFingerprint fingerprint{};
+    if (message.fingerprint().size() != fingerprint.size() || message.service().empty()) {
+        return std::nullopt;
+    }
+    std::copy(message.fingerprint().begin(), message.fingerprint().end(), fingerprint.begin());
+    return fingerprint;
+}
 
 void appendPart(std::string *text, const std::string &part)
 {
@@ -88,7 +109,12 @@
 
 void CrashQuarantine::crashed(const CrashTicket &ticket, const UpstreamId &upstream, Instant now)
 {
-    const Strike localStrike{.upstream = upstream, .origin = m_self, .underSuspicion = ticket.run != 0, .at = now};
+    const Strike localStrike{.upstream = upstream,
+                             .origin = m_self,
+                             .reporter = m_self,
+                             .sequence = m_lastSequence + 1,
+                             .underSuspicion = ticket.run != 0,
+                             .at = now};
     addStrike(ticket.service, ticket.fingerprint, localStrike);
     queueMessage(ticket, localStrike, false);
     endRun(ticket, now);
@@ -101,38 +127,144 @@
 
 void CrashQuarantine::receive(const InstanceId &from, const Wire::CrashStrike &message, Instant now)
 {
-    CrashFingerprint fingerprint{};
+    const std::optional<CrashFingerprint> fingerprint = fingerprintOf(message);
     // A message must come from its origin: otherwise one faulty peer could send strikes of several.
-    if (message.origin() != from.value() || from == m_self || message.fingerprint().size() != fingerprint.size()
-        || message.service().empty() || !recordSequence(from, message.sequence())) {
+    if (message.origin() != from.value() || from == m_self || !fingerprint || !recordSequence(from, message.sequence())) {
         return;
     }
-    std::copy(message.fingerprint().begin(), message.fingerprint().end(), fingerprint.begin());
     if (message.cleared()) {
-        clearByPeer(fingerprint, from);
+        clearByPeer(*fingerprint, from, now);
         return;
     }
-    addStrike(
-        ServiceName(message.service()),
-        fingerprint,
-        {.upstream = UpstreamId(message.upstream()), .origin = from, .underSuspicion = message.under_suspicion(), .at = now});
+    if (isKnown(*fingerprint, from, message.sequence())) {
+        return;
+    }
+    addStrike(ServiceName(message.service()),
+              *fingerprint,
+              {.upstream = UpstreamId(message.upstream()),
+               .origin = from,
+               .reporter = from,
+               .sequence = message.sequence(),
+               .underSuspicion = message.under_suspicion(),
+               .at = now});
+}
+
+template<class Visitor>
+void CrashQuarantine::visitStrikes(Instant now, Visitor visit) const
+{
+    for (const auto &[fingerprint, suspect] : m_suspects) {
+        for (const Strike &strike : suspect.strikes) {
+            if (strike.at + m_options.retention > now) {
+                visit(fingerprint, suspect, strike);
+            }
+        }
+    }
+}
+
+std::vector<Wire::CrashStrike> CrashQuarantine::history(Instant now) const
+{
+    struct Entry {
+        Instant lastStrike;
+        Wire::CrashStrike message;
+    };
+    std::vector<Entry> entries;
+    visitStrikes(now, [&](const CrashFingerprint &fingerprint, const Suspect &suspect, const Strike &strike) {
+        Wire::CrashStrike message = toWire(suspect.service, fingerprint, strike);
+        const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - strike.at);
+        message.set_age_us(static_cast<std::uint64_t>(age.count()));
+        entries.push_back({.lastStrike = suspect.lastStrike, .message = std::move(message)});
+    });
+    std::stable_sort(entries.begin(), entries.end(), [](const Entry &left, const Entry &right) {
+        return left.lastStrike > right.lastStrike;
+    });
+    std::vector<Wire::CrashStrike> messages;
+    for (Entry &entry : entries) {
+        if (messages.size() < MaxHistoryStrikes) {
+            messages.push_back(std::move(entry.message));
+        }
+    }
+    return messages;
+}
+
+std::uint64_t CrashQuarantine::historyHash(Instant now) const
+{
+    std::uint64_t hash = 0;
+    visitStrikes(now, [&hash](const CrashFingerprint &fingerprint, const Suspect & /*suspect*/, const Strike &strike) {
+        std::string text(fingerprint.begin(), fingerprint.end());
+        text.append(strike.origin.value()).append("/").append(std::to_string(strike.sequence));
+        hash += stableHash(text);
+    });
+    return hash;
+}
+
+std::size_t CrashQuarantine::receiveHistory(const InstanceId &from, const Wire::CrashHistory &message, Instant now)
+{
+    if (from == m_self) {
+        return 0;
+    }
+    return static_cast<std::size_t>(
+        std::count_if(message.entries().begin(), message.entries().end(), [&](const Wire::CrashStrike &entry) {
+            return receiveEntry(from, entry, now);
+        }));
+}
+
+bool CrashQuarantine::receiveEntry(const InstanceId &from, const Wire::CrashStrike &message, Instant now)
+{
+    const std::optional<CrashFingerprint> fingerprint = fingerprintOf(message);
+    const InstanceId origin(message.origin());
+    const Instant at = now - ageOf(message);
+    const bool isExpired = at + m_options.retention <= now;
+    if (!fingerprint || origin.empty() || origin == m_self || message.cleared() || isExpired) {
+        return false;
+    }
+    if (wasClearedSince(*fingerprint, at) || isKnown(*fingerprint, origin, message.sequence())) {
+        return false;
+    }
+    addStrike(ServiceName(message.service()),
+              *fingerprint,
+              {.upstream = UpstreamId(message.upstream()),
+               .origin = origin,
+               .reporter = from,
+               .sequence = message.sequence(),
+               .underSuspicion = message.under_suspicion(),
+               .at = at});
+    return isKnown(*fingerprint, origin, message.sequence());
+}
+
+bool CrashQuarantine::wasClearedSince(const CrashFingerprint &fingerprint, Instant time) const
+{
+    const auto success = m_successIndex.find(fingerprint);
+    if (success != m_successIndex.end() && success->second->second >= time) {
+        return true;
+    }
+    const auto suspect = m_suspects.find(fingerprint);
+    return suspect != m_suspects.end() && suspect->second.clearedAt && *suspect->second.clearedAt >= time;
+}
+
+bool CrashQuarantine::isKnown(const CrashFingerprint &fingerprint, const InstanceId &origin, std::uint64_t sequence) const
+{
+    const auto suspect = m_suspects.find(fingerprint);
+    return suspect != m_suspects.end()
+        && std::any_of(suspect->second.strikes.begin(), suspect->second.strikes.end(), [&](const Strike &strike) {
+               return strike.origin == origin && strike.sequence == sequence;
+           });
 }
 
 void CrashQuarantine::addStrike(const ServiceName &service, const CrashFingerprint &fingerprint, const Strike &strike)
 {
     if (m_suspects.count(fingerprint) == 0) {
         evictOldestSuspectIfFull();
-        const auto suspectsOfOrigin = std::count_if(m_suspects.begin(), m_suspects.end(), [&](const auto &entry) {
+        const auto suspectsOfReporter = std::count_if(m_suspects.begin(), m_suspects.end(), [&](const auto &entry) {
             const auto &strikes = entry.second.strikes;
-            return !strikes.empty() && strikes.front().origin == strike.origin;
+            return !strikes.empty() && strikes.front().reporter == strike.reporter;
         });
-        if (strike.origin != m_self && static_cast<std::size_t>(suspectsOfOrigin) >= m_options.maxSuspectsPerPeer) {
+        if (strike.reporter != m_self && static_cast<std::size_t>(suspectsOfReporter) >= m_options.maxSuspectsPerPeer) {
             return;
         }
     }
     Suspect &suspect = m_suspects[fingerprint];
     suspect.service = service;
-    suspect.lastStrike = strike.at;
+    suspect.lastStrike = std::max(suspect.lastStrike, strike.at);
     std::erase_if(suspect.strikes, [&](const Strike &earlier) {
         return earlier.at + m_options.retention <= strike.at;
     });
@@ -156,7 +288,7 @@
 bool CrashQuarantine::confirmsCrashes(const std::vector<Strike> &strikes, const InstanceId &excludedPeer)
 {
     const auto counts = [&excludedPeer](const Strike &strike) {
-        return excludedPeer.empty() || strike.origin != excludedPeer;
+        return excludedPeer.empty() || (strike.origin != excludedPeer && strike.reporter != excludedPeer);
     };
     return std::any_of(strikes.begin(), strikes.end(), [&](const Strike &suspected) {
         return suspected.underSuspicion && counts(suspected)
@@ -168,8 +300,11 @@
 
 bool CrashQuarantine::confirmsCrashesWithoutAnySinglePeer(const std::vector<Strike> &strikes) const
 {
+    const auto isConfirmedWithout = [&](const InstanceId &peer) {
+        return peer == m_self || confirmsCrashes(strikes, peer);
+    };
     return confirmsCrashes(strikes, {}) && std::all_of(strikes.begin(), strikes.end(), [&](const Strike &strike) {
-               return strike.origin == m_self || confirmsCrashes(strikes, strike.origin);
+               return isConfirmedWithout(strike.origin) && isConfirmedWithout(strike.reporter);
            });
 }
 
@@ -203,7 +338,7 @@
     m_suspects.erase(found);
 }
 
-void CrashQuarantine::clearByPeer(const CrashFingerprint &fingerprint, const InstanceId &from)
+void CrashQuarantine::clearByPeer(const CrashFingerprint &fingerprint, const InstanceId &from, Instant now)
 {
     const auto found = m_suspects.find(fingerprint);
     if (found == m_suspects.end()) {
@@ -215,6 +350,7 @@
     }
     // The entry is kept until it expires, because it holds clearedBy.
     suspect.clearedBy.push_back(from);
+    suspect.clearedAt = now;
     suspect.strikes.clear();
     suspect.run = 0;
     suspect.quarantinedUntil = {};
@@ -300,17 +436,25 @@
 
 void CrashQuarantine::queueMessage(const CrashTicket &ticket, const Strike &strike, bool cleared)
 {
-    Wire::CrashStrike message;
-    message.set_service(ticket.service.value());
-    message.set_fingerprint(ticket.fingerprint.data(), ticket.fingerprint.size());
-    message.set_upstream(strike.upstream.value());
+    Wire::CrashStrike message = toWire(ticket.service, ticket.fingerprint, strike);
     message.set_origin(m_self.value());
     message.set_sequence(++m_lastSequence);
     message.set_cleared(cleared);
-    message.set_under_suspicion(strike.underSuspicion);
     m_messages.push_back(std::move(message));
 }
 
+Wire::CrashStrike CrashQuarantine::toWire(const ServiceName &service, const CrashFingerprint &fingerprint, const Strike &strike)
+{
+    Wire::CrashStrike message;
+    message.set_service(service.value());
+    message.set_fingerprint(fingerprint.data(), fingerprint.size());
+    message.set_upstream(strike.upstream.value());
+    message.set_origin(strike.origin.value());
+    message.set_sequence(strike.sequence);
+    message.set_under_suspicion(strike.underSuspicion);
+    return message;
+}
+
 std::vector<CrashDecision> CrashQuarantine::takeDecisions()
 {
     return std::exchange(m_decisions, {});
--- a/tests/instance/upstreamobservationtest.cpp
+++ b/tests/instance/upstreamobservationtest.cpp
@@ -6,12 +6,15 @@
 #include "support/results.h"
 
 #include <filbertmount/instance/entryinstance.h>
+#include <filbertmount/telemetry/log.h>
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace Filbertmount;
@@ -66,39 +69,81 @@
     }
 }
 
-// Guards against a request that crashes every upstream that runs it and is resent repeatedly: one instance runs it at most
-// twice and keeps serving other requests.
-TEST_CASE("a request that crashes two upstreams is refused as not run, others are served")
+namespace {
+
+/** Four upstreams of the service "shop", each of which crashes when it gets /crash and then refuses every request as not run. */
+class CrashableUpstreams
 {
-    std::atomic<int> crashes = 0;
-    // A crashed upstream refuses every request as not run.
-    const auto crashable = [&](const std::shared_ptr<std::atomic<bool>> &crashed) {
-        return [&crashes, crashed](const TestMessage &message, TestSocket &socket) {
+public:
+    CrashableUpstreams()
+    {
+        for (int index = 0; index < 4; ++index) {
+            m_upstreams.push_back(std::make_unique<TestUpstream>(script(std::make_shared<std::atomic<bool>>(false))));
+        }
+    }
+
+    [[nodiscard]] std::string document() const
+    {
+        std::string addresses;
+        for (const auto &upstream : m_upstreams) {
+            addresses += (addresses.empty() ? "\"" : ", \"") + upstream->address() + "\"";
+        }
+        return "service = \"shop\"\nteam = \"riga\"\n[upstreams]\naddresses = [" + addresses
+            + "]\nslots = 4\n[retries]\nbudget_percent = 100.0\n"
+              "[[routes]]\nmethod = \"GET\"\npath = \"/**\"\nrepeatable = true\n";
+    }
+
+    [[nodiscard]] int crashes() const
+    {
+        return m_crashes;
+    }
+
+private:
+    TestUpstream::Script script(std::shared_ptr<std::atomic<bool>> crashed)
+    {
+        return [this, crashed = std::move(crashed)](const TestMessage &message, TestSocket &socket) {
             if (*crashed) {
                 return socket.send(responseWith("503 Service Unavailable", "", "Request-Not-Run: draining\r\n"));
             }
             if (message.startLine.find("/crash") != std::string::npos) {
-                ++crashes;
+                ++m_crashes;
                 *crashed = true;
                 return false;
             }
             return socket.send(responseWith("200 OK", "fine"));
         };
-    };
-    std::vector<std::unique_ptr<TestUpstream>> upstreams;
-    std::string addresses;
-    for (int index = 0; index < 4; ++index) {
-        upstreams.push_back(std::make_unique<TestUpstream>(crashable(std::make_shared<std::atomic<bool>>(false))));
-        addresses += (index == 0 ? "\"" : ", \"") + upstreams.back()->address() + "\"";
     }
-    const DocumentFile file(
-        "service = \"shop\"\nteam = \"riga\"\n[upstreams]\naddresses = [" + addresses
-        + "]\nslots = 4\n[retries]\nbudget_percent = 100.0\n[[routes]]\nmethod = \"GET\"\npath = \"/**\"\nrepeatable = true\n");
-    InstanceSettings settings = loopbackSettings();
-    settings.documentFiles = {file.path()};
-    const std::unique_ptr<EntryInstance> instance = requireValue([&] {
+
+    std::atomic<int> m_crashes = 0;
+    std::vector<std::unique_ptr<TestUpstream>> m_upstreams;
+};
+
+std::unique_ptr<EntryInstance> startInstance(const InstanceSettings &settings)
+{
+    return requireValue([&] {
         return EntryInstance::start(settings);
     });
+}
+
+bool wasLogged(const LogCapture &capture, const std::string &message)
+{
+    const std::vector<std::string> lines = capture.lines();
+    return std::any_of(lines.begin(), lines.end(), [&message](const std::string &line) {
+        return line.find(message) != std::string::npos;
+    });
+}
+
+} // namespace
+
+// Guards against a request that crashes every upstream that runs it and is resent repeatedly: one instance runs it at most
+// twice and keeps serving other requests.
+TEST_CASE("a request that crashes two upstreams is refused as not run, others are served")
+{
+    const CrashableUpstreams upstreams;
+    const DocumentFile file(upstreams.document());
+    InstanceSettings settings = loopbackSettings();
+    settings.documentFiles = {file.path()};
+    const std::unique_ptr<EntryInstance> instance = startInstance(settings);
 
     TestMessage response;
     for (int resend = 0; resend < 5; ++resend) {
@@ -108,5 +153,35 @@
     CHECK(response.status() == 503);
     CHECK(response.header("Filbertmount-Run") == "not-run");
     CHECK(response.body.find("crashed upstreams") != std::string::npos);
-    CHECK(crashes == 2);
+    CHECK(upstreams.crashes() == 2);
+}
+
+// Guards against review/5: an instance that started after the crashes ran the request again.
+TEST_CASE("a request that crashed two upstreams is refused by an instance that starts later")
+{
+    const CrashableUpstreams upstreams;
+    const DocumentFile file(upstreams.document());
+    InstanceSettings settings = loopbackSettings();
+    settings.documentFiles = {file.path()};
+    settings.addresses.peers = {.ip = "127.0.0.61", .port = 17662};
+    const std::unique_ptr<EntryInstance> first = startInstance(settings);
+    for (int resend = 0; resend < 3; ++resend) {
+        get(*first, "/crash");
+    }
+    REQUIRE(upstreams.crashes() == 2);
+
+    const LogCapture capture;
+    settings.identity.id = InstanceId("entry-2");
+    settings.addresses.peers = {.ip = "127.0.0.62", .port = 17662};
+    settings.peers.addresses = {{.ip = "127.0.0.61", .port = 17662}};
+    const std::unique_ptr<EntryInstance> second = startInstance(settings);
+    constexpr int maxWaits = 100;
+    for (int wait = 0; wait < maxWaits && !wasLogged(capture, "learned of crashes"); ++wait) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    const TestMessage response = get(*second, "/crash");
+    CHECK(response.status() == 503);
+    CHECK(response.header("Filbertmount-Run") == "not-run");
+    CHECK(upstreams.crashes() == 2);
+    CHECK(bodyAfterResends(*second, "/fine") == "fine");
 }
--- a/tests/quarantine/crashquarantinetest.cpp
+++ b/tests/quarantine/crashquarantinetest.cpp
@@ -1,7 +1,9 @@
-#include <filbertmount/quarantine/crashguard.h>
+#include <filbertmount/quarantine/crashhistorysync.h>
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace Filbertmount;
 
 namespace {
@@ -35,6 +37,16 @@
     return message;
 }
 
+/** The history of @p quarantine as one message. */
+Wire::CrashHistory historyOf(const CrashQuarantine &quarantine, int second)
+{
+    Wire::CrashHistory message;
+    for (const Wire::CrashStrike &strike : quarantine.history(at(second))) {
+        *message.add_entries() = strike;
+    }
+    return message;
+}
+
 /** A quarantine with functions that run attempts of the request "/kill". */
 struct Fixture {
     CrashQuarantine quarantine{InstanceId("entry-0"), {}};
@@ -203,3 +215,134 @@
     REQUIRE(sent.size() == 2);
     CHECK(sent[1].crash_strike().under_suspicion());
 }
+
+// Guards against review/5: each restarted instance ran a crashing request again, because strikes are sent only when they occur.
+TEST_CASE("crash history: an instance that starts later refuses what the others have quarantined")
+{
+    CrashGuard holder(Peer, [](const Wire::Body &) {}, {});
+    CrashTicket ticket;
+    const auto run = [&](CrashGuard &guard) {
+        CrashAdmission result = CrashAdmission::Wait;
+        guard.admit(Shop, fingerprintOf("/kill"), [&](CrashAdmission admission, const CrashTicket &granted) {
+            result = admission;
+            ticket = granted;
+        });
+        return result;
+    };
+    for (const UpstreamId &upstream : {First, Second}) {
+        REQUIRE(run(holder) == CrashAdmission::Run);
+        holder.crashed(ticket, upstream);
+    }
+    CrashGuard restarted(OtherPeer, [](const Wire::Body &) {}, {});
+    const CrashHistorySync holderSync(Peer, holder, 1);
+    CrashHistorySync restartedSync(OtherPeer, restarted, 1);
+    const std::vector<InstanceId> members{Peer, OtherPeer};
+
+    const std::optional<PeerMessage> pull = restartedSync.tick(members, at(0));
+    REQUIRE(pull.has_value());
+    CHECK(pull->to == Peer);
+    for (const PeerMessage &message : holderSync.onPull(OtherPeer, pull->envelope.bodies(0).crash_history_pull())) {
+        restartedSync.onHistory(Peer, message.envelope.bodies(0).crash_history());
+    }
+    CHECK(run(restarted) == CrashAdmission::Quarantined);
+    CHECK(restarted.historyHash() == holder.historyHash());
+
+    // Equal histories cause no further responses, and pulls become rarer.
+    CHECK_FALSE(restartedSync.tick(members, at(0) + std::chrono::milliseconds(100)).has_value());
+    const std::optional<PeerMessage> second = restartedSync.tick(members, at(1));
+    REQUIRE(second.has_value());
+    CHECK(holderSync.onPull(OtherPeer, second->envelope.bodies(0).crash_history_pull()).empty());
+}
+
+TEST_CASE("crash history: pulls are sent to others only, often at first and then at the interval")
+{
+    CrashGuard guard(Peer, [](const Wire::Body &) {}, {});
+    CrashHistorySync sync(Peer, guard, 7, {.interval = std::chrono::seconds(2), .firstPulls = 3});
+    CHECK_FALSE(sync.tick({Peer}, at(0)).has_value());
+    int pulls = 0;
+    for (int tenth = 0; tenth < 100; ++tenth) {
+        const auto pull = sync.tick({Peer, OtherPeer}, at(0) + std::chrono::milliseconds(100 * tenth));
+        pulls += pull ? 1 : 0;
+        CHECK((!pull || pull->to == OtherPeer));
+    }
+    // At 0, 0.2, 0.4 s, and then at 2.4, 4.4, 6.4 and 8.4 s.
+    CHECK(pulls == 7);
+}
+
+TEST_CASE("strikes in the history of a peer")
+{
+    Fixture holder;
+    holder.crashOn(First, 0);
+    holder.crashOn(Second, 10);
+    CrashQuarantine learner(OtherPeer, {});
+    const auto admitted = [&](int second) {
+        return learner.admit(RequestId(1), Shop, fingerprintOf("/kill"), at(second)).admission;
+    };
+    SUBCASE("expire when they expire at the peer")
+    {
+        CHECK(learner.receiveHistory(Peer, historyOf(holder.quarantine, 300), at(300)) == 2);
+        CHECK(admitted(600) == CrashAdmission::Quarantined);
+        CHECK(admitted(611) == CrashAdmission::Run);
+        CHECK(learner.receiveHistory(Peer, historyOf(holder.quarantine, 605), at(900)) == 0);
+    }
+    SUBCASE("are applied once, also when the origin's own message arrives later")
+    {
+        const Wire::CrashStrike direct = holder.quarantine.takeMessages().front();
+        CHECK(learner.receiveHistory(Peer, historyOf(holder.quarantine, 20), at(20)) == 2);
+        const std::uint64_t hash = learner.historyHash(at(20));
+        CHECK(learner.receiveHistory(Peer, historyOf(holder.quarantine, 21), at(21)) == 0);
+        learner.receive(InstanceId("entry-0"), direct, at(21));
+        CHECK(learner.historyHash(at(21)) == hash);
+        CHECK(hash == holder.quarantine.historyHash(at(20)));
+    }
+    SUBCASE("are ignored if the request has succeeded since")
+    {
+        learner.succeeded(learner.admit(RequestId(1), Shop, fingerprintOf("/kill"), at(15)).ticket, at(15));
+        CHECK(learner.receiveHistory(Peer, historyOf(holder.quarantine, 20), at(20)) == 0);
+        CHECK(admitted(21) == CrashAdmission::Run);
+    }
+    SUBCASE("are ignored if they were cleared since")
+    {
+        Wire::CrashStrike clearing = strikeOf(Peer, First, 1, false);
+        clearing.set_cleared(true);
+        learner.receiveHistory(Peer, historyOf(holder.quarantine, 11), at(11));
+        learner.receive(Peer, clearing, at(15));
+        CHECK(learner.receiveHistory(Peer, historyOf(holder.quarantine, 20), at(20)) == 0);
+        CHECK(admitted(21) == CrashAdmission::Run);
+    }
+    SUBCASE("of invented origins count as those of the peer that reports them, if the request succeeded here before")
+    {
+        learner.succeeded(learner.admit(RequestId(1), Shop, fingerprintOf("/kill"), at(0)).ticket, at(0));
+        Wire::CrashHistory forged;
+        *forged.add_entries() = strikeOf(InstanceId("x"), First, 1, false);
+        *forged.add_entries() = strikeOf(InstanceId("y"), Second, 1, true);
+        *forged.add_entries() = strikeOf(InstanceId("z"), First, 1, true);
+        CHECK(learner.receiveHistory(Peer, forged, at(1)) == 3);
+        CHECK(admitted(2) == CrashAdmission::Run);
+    }
+    SUBCASE("are ignored if they are malformed or pretend to come from the receiver")
+    {
+        Wire::CrashHistory malformed;
+        malformed.add_entries();
+        *malformed.add_entries() = strikeOf(OtherPeer, First, 1, true);
+        *malformed.add_entries() = strikeOf(InstanceId(), First, 1, true);
+        malformed.mutable_entries(2)->set_fingerprint("short");
+        CHECK(learner.receiveHistory(Peer, malformed, at(1)) == 0);
+        CHECK(learner.suspects() == 0);
+    }
+}
+
+TEST_CASE("the history of the quarantine is bounded and holds the latest crashes")
+{
+    CrashQuarantine quarantine(InstanceId("entry-0"), {});
+    for (int number = 0; number < 1000; ++number) {
+        const CrashFingerprint fingerprint = fingerprintOf(std::to_string(number));
+        quarantine.crashed({.service = Shop, .fingerprint = fingerprint}, First, at(number / 10));
+    }
+    const std::vector<Wire::CrashStrike> history = quarantine.history(at(100));
+    REQUIRE(history.size() == 512);
+    const CrashFingerprint last = fingerprintOf("999");
+    CHECK(std::any_of(history.begin(), history.end(), [&last](const Wire::CrashStrike &strike) {
+        return strike.fingerprint() == std::string(last.begin(), last.end());
+    }));
+}
