Refuse requests that may outlast a stopping instance

Callers saw: in a planned stop of one instance, orders that came late in its grace period were passed on, ran, and were cut off without an answer when the process ended (LOST); an order may not be repeated.

Cause: a draining instance compared the deadline of a new request with nothing. What was still waiting for an upstream at the end was abandoned without an answer as well.

Ruled out: an early end of the process, and connections closed while requests are in progress (all lines of abandoned requests come after "shut down").

Change: while draining, a request whose deadline is after the end of the process is refused at once with 503 and Retry-After, not run. Until the balancer has removed the instance, a repeatable one whose objective fits is still taken. 150 ms before the end, requests that are not in progress at an upstream are answered: 503, or 502 if an earlier attempt may have run them.

--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -12,6 +12,8 @@
 constexpr int Unavailable = 503;
 // In seconds; an instance receives its routes within about a second of its start.
 constexpr const char *RetryAfterNoRoutes = "0.3";
+// In seconds; the connection closes with the response, and another instance can serve the request at once.
+constexpr const char *RetryAfterShutdown = "0.05";
 
 } // namespace
 
@@ -49,14 +51,25 @@
     }
 }
 
-void CallerHandler::startDraining()
+void CallerHandler::startDraining(const DrainSchedule &schedule)
 {
-    m_isDraining = true;
+    m_drain = schedule;
 }
 
 bool CallerHandler::isDraining() const
 {
-    return m_isDraining;
+    return m_drain.has_value();
+}
+
+bool CallerHandler::endsBeforeExit(const ServerRequest &request, const ForwardRoute &route) const
+{
+    if (!m_drain || deadlineOf(request, route) <= m_drain->exitAt) {
+        return true;
+    }
+    // While the balancer sends new connections, many requests arrive. Most end within their objective, and the caller of a
+    // repeatable one that is cut off can send it again.
+    const bool isStillInBalancer = ProcessClock::now() < m_drain->removedFromBalancerAt;
+    return route.isRepeatable && isStillInBalancer && request.arrival + route.latencyObjective <= m_drain->exitAt;
 }
 
 CallerLimits CallerHandler::limits() const
@@ -107,6 +120,13 @@
         respondDirectly(request, respond, {.status = NotFound}, "no route");
         return nullptr;
     }
+    if (!endsBeforeExit(request, *route)) {
+        respondDirectly(request,
+                        respond,
+                        {.status = Unavailable, .headers = {{.name = "Retry-After", .value = RetryAfterShutdown}}},
+                        "shutting down");
+        return nullptr;
+    }
     const ServiceName &service = m_splitSelector.next(*route);
     const std::string *id = findHeader(request.headers, m_environment.dialect.requestId);
     RoutedRequest routed{.request = {},
--- a/src/edge/callerhandler.h
+++ b/src/edge/callerhandler.h
@@ -7,9 +7,18 @@
 #include <filbertmount/routes/splitselector.h>
 
 #include <memory>
+#include <optional>
 
 namespace Filbertmount {
 
+/** The course of a shutdown. */
+struct DrainSchedule {
+    /** From this time on, the platform's load balancer sends no new connections. */
+    Instant removedFromBalancerAt;
+    /** When the process ends, whatever is still in progress. */
+    Instant exitAt;
+};
+
 /** Handles the requests of callers: finds the route of each request and forwards it to an upstream. Runs on the IoLoop. */
 class CallerHandler : public RequestHandler
 {
@@ -20,8 +29,11 @@
     void setRoutes(std::shared_ptr<const RouteIndex> routes);
     /** Call once routes and upstreams are known. Forwards the held requests first, then all new ones. */
     void startForwarding();
-    /** From now on, connections are closed after their next response. */
-    void startDraining();
+    /**
+     * From now on, connections are closed after their next response, and a request that may still be in progress when the process
+     * ends is refused as not run, so that its caller sends it to another instance.
+     */
+    void startDraining(const DrainSchedule &schedule);
 
     std::shared_ptr<ActiveRequest> handle(ServerRequest request, ResponseHandler respond) override;
     [[nodiscard]] CallerLimits limits() const override;
@@ -38,6 +50,8 @@
     /** The earlier one of the timeout of the route and the time that the caller still waits. */
     [[nodiscard]] Instant deadlineOf(const ServerRequest &request, const ForwardRoute &route) const;
     [[nodiscard]] Instant objectiveOf(const ServerRequest &request, const ForwardRoute &route) const;
+    /** Whether @p request is sure, or likely enough, to be answered before the process ends. */
+    [[nodiscard]] bool endsBeforeExit(const ServerRequest &request, const ForwardRoute &route) const;
     [[nodiscard]] Priority priorityOf(const ForwardRoute &route, const ServiceName &service) const;
 
     CallEnvironment &m_environment;
@@ -47,7 +61,7 @@
     SplitSelector m_splitSelector;
     HeldRequests m_heldRequests;
     bool m_isForwarding = false;
-    bool m_isDraining = false;
+    std::optional<DrainSchedule> m_drain;
 };
 
 } // namespace Filbertmount
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -22,6 +22,8 @@
 constexpr Duration BalancerRemovalTime = std::chrono::milliseconds(2600);
 // The process exits this long before the platform would kill it.
 constexpr Duration ShutdownMargin = std::chrono::milliseconds(400);
+// Time in which responses reach their callers before the process exits.
+constexpr Duration LastResponseTime = std::chrono::milliseconds(150);
 // File descriptors for connections to upstreams and the store and for files, not available to connections of callers.
 constexpr int ReservedDescriptors = 1200;
 constexpr int MinCallerSessions = 64;
@@ -408,7 +410,8 @@
     }
     m_onShutDownDone = std::move(done);
     m_shutdownStartedAt = ProcessClock::now();
-    m_callerHandler.startDraining();
+    m_callerHandler.startDraining({.removedFromBalancerAt = m_shutdownStartedAt + BalancerRemovalTime,
+                                   .exitAt = m_shutdownStartedAt + m_settings.shutdownGrace - ShutdownMargin});
     m_fleet.leave();
     logLine(LogLevel::Info,
             "shutting down",
@@ -424,6 +427,9 @@
     }
     m_callerListener.stopAccepting();
     m_callerListener.closeIdleSessions();
+    if (elapsed >= m_settings.shutdownGrace - ShutdownMargin - LastResponseTime) {
+        m_callerListener.endWaitingRequests();
+    }
     const std::size_t pending = m_callerListener.pendingRequests();
     if (!isGraceOver && (pending > 0 || m_callerListener.openSessions() > 0)) {
         return;
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -330,6 +330,19 @@
     m_responseHandler = nullptr;
 }
 
+void ForwardedCall::endIfWaiting()
+{
+    if (m_isDone || !m_activeAttempts.empty()) {
+        return;
+    }
+    const std::string reason = "shutting down";
+    if (m_mayHaveRun || m_failureDuringHedge) {
+        fail(BadGateway, reason);
+    } else {
+        refuse(MinRetryAfter, reason);
+    }
+}
+
 void ForwardedCall::deliver(ClientResponse response)
 {
     const int status = response.status;
--- a/src/edge/forwardedcall.h
+++ b/src/edge/forwardedcall.h
@@ -27,6 +27,7 @@
     void start();
     /** Cancels all attempts; the caller gets no response. */
     void abandon() override;
+    void endIfWaiting() override;
 
 private:
     /** Why an attempt is made. */
--- a/src/edge/heldrequests.cpp
+++ b/src/edge/heldrequests.cpp
@@ -26,6 +26,14 @@
     }
 }
 
+void HeldRequests::HeldRequest::endIfWaiting()
+{
+    // One that is still held is answered within the maximum time, which is shorter than any shutdown.
+    if (forwarded) {
+        forwarded->endIfWaiting();
+    }
+}
+
 HeldRequests::HeldRequests(IoLoop &loop, Handler fallback)
     : m_timer(loop)
     , m_fallback(std::move(fallback))
--- a/src/edge/heldrequests.h
+++ b/src/edge/heldrequests.h
@@ -28,12 +28,13 @@
     void releaseAll(const Handler &handler);
 
 private:
-    /** A held request. After it was passed to a handler, forwards abandon() to the active request that the handler returned. */
+    /** A held request. After it was passed to a handler, forwards all calls to the active request that the handler returned. */
     class HeldRequest : public ActiveRequest
     {
     public:
         HeldRequest(ServerRequest heldRequest, ResponseHandler heldHandler);
         void abandon() override;
+        void endIfWaiting() override;
 
         ServerRequest request;
         ResponseHandler respond;
--- a/src/edge/listener.cpp
+++ b/src/edge/listener.cpp
@@ -83,6 +83,13 @@
     }
 }
 
+void Listener::endWaitingRequests()
+{
+    for (const std::shared_ptr<ServerSession> &session : m_sessions) {
+        session->endWaitingRequests();
+    }
+}
+
 void Listener::closeAll()
 {
     for (const std::shared_ptr<ServerSession> &session : m_sessions) {
--- a/src/edge/listener.h
+++ b/src/edge/listener.h
@@ -23,6 +23,8 @@
     void stopAccepting();
     /** Closes the sessions without a request in progress. */
     void closeIdleSessions();
+    /** Responds to the requests of all sessions that are not in progress at an upstream. */
+    void endWaitingRequests();
     void closeAll();
     /** Number of requests that have been read and whose responses have not been written yet. */
     [[nodiscard]] std::size_t pendingRequests() const;
--- a/src/edge/serversession.cpp
+++ b/src/edge/serversession.cpp
@@ -325,6 +325,17 @@
     }
 }
 
+void ServerSession::endWaitingRequests()
+{
+    const std::deque<std::shared_ptr<Exchange>> exchanges = m_exchanges;
+    for (const std::shared_ptr<Exchange> &exchange : exchanges) {
+        // The response handler releases the request while it is called.
+        if (const std::shared_ptr<ActiveRequest> active = exchange->active) {
+            active->endIfWaiting();
+        }
+    }
+}
+
 void ServerSession::lingerAndClose()
 {
     if (m_isLingering || m_isClosed) {
--- a/src/edge/serversession.h
+++ b/src/edge/serversession.h
@@ -52,6 +52,8 @@
 
     /** Called when the client has disconnected; the response handler need not be called any more. */
     virtual void abandon() = 0;
+    /** Responds now if the request is not in progress at an upstream, because the process ends before it could be served. */
+    virtual void endIfWaiting() = 0;
 };
 
 /** Sends a response to the client. */
@@ -93,6 +95,8 @@
     void start();
     /** Closes the connection if it is idle. While the handler is draining, others are closed after their last response. */
     void closeIfIdle();
+    /** Responds to the requests that are not in progress at an upstream. */
+    void endWaitingRequests();
     /** Closes the connection now and abandons all requests in progress. */
     void close();
 
--- a/tests/edge/serversessiontest.cpp
+++ b/tests/edge/serversessiontest.cpp
@@ -24,7 +24,12 @@
         {
             isAbandoned = true;
         }
+        void endIfWaiting() override
+        {
+            wasToldToEnd = true;
+        }
         bool isAbandoned = false;
+        bool wasToldToEnd = false;
     };
 
     std::shared_ptr<ActiveRequest> handle(ServerRequest request, ResponseHandler respond) override
