Bound the trailers of a response in filbertmountd

Callers saw: a faulty upstream that sends trailers without end fills the memory of the process, whose other requests end with it.

Cause: trailers are not passed on, so Transfer let them through without a limit; libcurl keeps every header line of a transfer.

Change: lines of the trailers count against the limit of the head. Test: "a response whose head or trailers do not end ..."; before the change its row "trailers" took over 16 MB without an end.

--- a/src/proxy/transfer.cpp
+++ b/src/proxy/transfer.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// The head is forwarded to the caller, so it must fit into the connection memory of the caller server.
+// The head is forwarded to the caller, so it must fit into the connection memory of the caller server. Trailers count as well.
 constexpr std::size_t MaxResponseHeadBytes = std::size_t{24} << 10U;
 
 // Node.js and uvicorn close idle connections after 5 s. A request sent on a connection that is just being closed is lost.
@@ -153,13 +153,14 @@
 
 bool Transfer::parseHeaderLine(std::string_view line)
 {
-    if (m_headComplete) {
-        return true; // Trailers are not forwarded.
-    }
+    // libcurl keeps all lines of the head and of the trailers in memory.
     m_headBytes += line.size();
     if (m_headBytes > MaxResponseHeadBytes) {
         return false;
     }
+    if (m_headComplete) {
+        return true; // Trailers are not forwarded.
+    }
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
         line.remove_suffix(1);
     }
--- a/tests/proxy/streamingtest.cpp
+++ b/tests/proxy/streamingtest.cpp
@@ -198,6 +198,51 @@
     }
 }
 
+// Guards against an instance that keeps all bytes of a faulty upstream until the process runs out of memory. Bodies and chunk
+// extensions are not in the table: bodies are passed on while they arrive, extensions are skipped, and both end at the deadline.
+TEST_CASE("a response whose head or trailers do not end is rejected within a bounded number of bytes")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    struct Row {
+        std::string name;
+        std::string start;
+        std::string repeated;
+    };
+    const Row rows[] = {
+        {"header fields", head, "Name: value\r\n"},
+        {"one header field", head + "Name: ", "value"},
+        {"status line", "HTTP/1.1 200 ", "reason"},
+        {"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+        {"empty lines", "", "\r\n"},
+        {"no HTTP", "", "nonsense "},
+        {"trailers", chunked + "0\r\n", "Trailer: value\r\n"},
+        {"one trailer", chunked + "0\r\nTrailer: ", "value"},
+    };
+    constexpr std::size_t burstBytes = std::size_t{16} << 10U;
+    // Head, and what the two sockets hold.
+    constexpr std::size_t mostBytes = std::size_t{16} << 20U;
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        std::atomic<std::size_t> sent = 0;
+        TestUpstream upstream([&](const TestMessage &, TestSocket &socket) {
+            std::string burst;
+            while (burst.size() < burstBytes) {
+                burst += row.repeated;
+            }
+            socket.send(row.start);
+            while (sent < mostBytes && socket.send(burst)) {
+                sent += burst.size();
+            }
+            return false;
+        });
+        TestEntry entry({.upstreams = {upstream.address()}});
+        const TestMessage response = entry.call(request("POST /orders"));
+        CHECK((response.status() == 502 || !response.complete));
+        CHECK(sent < mostBytes);
+    }
+}
+
 TEST_CASE("the head of a response without a body is forwarded")
 {
     TestUpstream upstream([](const TestMessage &message, TestSocket &socket) {
