Test responses that end at any byte of their head or body

Reported by operators of similar systems: an upstream stopped in the middle of the head of its response and closed, and callers got a 200 with an empty or short body, framed as whole.

--- a/tests/edge/clientconnectiontest.cpp
+++ b/tests/edge/clientconnectiontest.cpp
@@ -128,6 +128,36 @@
     }
 }
 
+// Guards against a success that is framed as whole although the upstream stopped in the middle of the head or body.
+TEST_CASE("client connection: a response that ends in order at any byte before its end is not taken for a complete one")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\nX-Stamp: s\r\n";
+    struct Row {
+        const char *name;
+        std::string text;
+        /** From this length on, the response may count as complete: without a length, it ends with the connection. */
+        std::size_t completeFrom;
+    };
+    const std::string withLength = head + "Content-Length: 4\r\n\r\nbody";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    const std::string withoutLength = head + "\r\n";
+    const std::string afterInterim = "HTTP/1.1 100 Continue\r\n\r\n" + withLength;
+    const Row rows[] = {
+        {"with a length", withLength, withLength.size()},
+        {"in chunks", chunked, chunked.size()},
+        {"without a length", withoutLength, withoutLength.size()},
+        {"after an interim response", afterInterim, afterInterim.size()},
+    };
+    for (const Row &row : rows) {
+        for (std::size_t length = 1; length <= row.text.size(); ++length) {
+            CAPTURE(row.name);
+            CAPTURE(length);
+            const Outcome outcome = exchangeWith(row.text.substr(0, length), Close);
+            CHECK((outcome.result.end == ExchangeEnd::Responded) == (length >= row.completeFrom));
+        }
+    }
+}
+
 // Guards against a server whose response does not end: it must neither fill the memory nor hold the exchange.
 TEST_CASE("client connection: a response without end is rejected within a bounded number of bytes")
 {
--- a/tests/proxy/streamingtest.cpp
+++ b/tests/proxy/streamingtest.cpp
@@ -198,6 +198,24 @@
     }
 }
 
+// Guards against a 200 with an empty body, framed as whole, for an upstream that stopped in the middle of the head of its
+// response.
+TEST_CASE("a response whose head is incomplete when the upstream closes is reported as an error")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Own: 1\r\nContent-Length: 4\r\n\r\n";
+    std::atomic<std::size_t> length = 0;
+    TestUpstream upstream([&](const TestMessage &, TestSocket &socket) {
+        socket.send(head.substr(0, length));
+        return false;
+    });
+    TestEntry entry({.upstreams = {upstream.address()}});
+    for (length = 1; length < head.size(); ++length) {
+        CAPTURE(length.load());
+        const TestMessage response = entry.call(request("POST /orders"));
+        CHECK(response.status() == 502);
+    }
+}
+
 // Guards against an instance that keeps all bytes of a faulty upstream until the process runs out of memory. Bodies and chunk
 // extensions are not in the table: bodies are passed on while they arrive, extensions are skipped, and both end at the deadline.
 TEST_CASE("a response whose head or trailers do not end is rejected within a bounded number of bytes")
