--- a/include/filbertmount/quarantine/crashquarantine.h
+++ b/include/filbertmount/quarantine/crashquarantine.h
@@ -192,6 +192,7 @@
     /** Records the sequence number of a message. Returns false for a repeated or very old one. */
     bool recordSequence(const InstanceId &origin, std::uint64_t sequence);
     void queueMessage(const CrashTicket &ticket, const Strike &strike, bool cleared);
+    static Strike fromWire(const Wire::CrashStrike &message, const InstanceId &reporter, Instant at);
     static Wire::CrashStrike toWire(const ServiceName &service, const CrashFingerprint &fingerprint, const Strike &strike);
 
     const InstanceId m_self;
--- a/src/quarantine/crashquarantine.cpp
+++ b/src/quarantine/crashquarantine.cpp
@@ -139,14 +139,7 @@
     if (isKnown(*fingerprint, from, message.sequence())) {
         return;
     }
-    addStrike(ServiceName(message.service()),
-              *fingerprint,
-              {.upstream = UpstreamId(message.upstream()),
-               .origin = from,
-               .reporter = from,
-               .sequence = message.sequence(),
-               .underSuspicion = message.under_suspicion(),
-               .at = now});
+    addStrike(ServiceName(message.service()), *fingerprint, fromWire(message, from, now));
 }
 
 template<class Visitor>
@@ -220,14 +213,7 @@
     if (wasClearedSince(*fingerprint, at) || isKnown(*fingerprint, origin, message.sequence())) {
         return false;
     }
-    addStrike(ServiceName(message.service()),
-              *fingerprint,
-              {.upstream = UpstreamId(message.upstream()),
-               .origin = origin,
-               .reporter = from,
-               .sequence = message.sequence(),
-               .underSuspicion = message.under_suspicion(),
-               .at = at});
+    addStrike(ServiceName(message.service()), *fingerprint, fromWire(message, from, at));
     return isKnown(*fingerprint, origin, message.sequence());
 }
 
@@ -455,6 +441,16 @@
     return message;
 }
 
+CrashQuarantine::Strike CrashQuarantine::fromWire(const Wire::CrashStrike &message, const InstanceId &reporter, Instant at)
+{
+    return {.upstream = UpstreamId(message.upstream()),
+            .origin = InstanceId(message.origin()),
+            .reporter = reporter,
+            .sequence = message.sequence(),
+            .underSuspicion = message.under_suspicion(),
+            .at = at};
+}
+
 std::vector<CrashDecision> CrashQuarantine::takeDecisions()
 {
     return std::exchange(m_decisions, {});
