--- a/tests/edge/callerhandlertest.cpp
+++ b/tests/edge/callerhandlertest.cpp
@@ -107,7 +107,9 @@
         // Four requests are in progress and keep all slots; the fifth one waits for one of them.
         CallFixture busy({{""}}, 1);
         std::vector<std::shared_ptr<ForwardedCall>> calls;
-        for (int index = 0; index < 5; ++index) {
+        constexpr std::size_t count = 5;
+        calls.reserve(count);
+        for (std::size_t index = 0; index < count; ++index) {
             calls.push_back(busy.start(false, 4s));
         }
         REQUIRE(runUntil(busy.loop, [&] {
