Do not run a destroyed periodic task or peer socket; convert to milliseconds in one place

A handler that is already queued on the loop runs without an error although its timer or socket has been destroyed. PeriodicTask and PeerSocket captured this in it; filbertmount-edge destroys both only after the loop, the test of a stopped relay in a running loop. PeriodicTask uses OneShotTimer, which drops such handlers; PeerSocket shares a flag with its handler.

toMilliseconds(), which three files of the edge defined alike and adminview wrote out, is now beside Duration.

--- a/include/filbertmount/types/instant.h
+++ b/include/filbertmount/types/instant.h
@@ -22,6 +22,12 @@
 /** A point in time on this process's monotonic clock. Not comparable between processes. */
 using Instant = ProcessClock::time_point;
 
+/** Returns @p duration in milliseconds, for logs and reports. */
+constexpr double toMilliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 /** A point in time on the clock of the platform's store, taken from the HTTP Date header. */
 struct StoreTime {
     /** Seconds since the Unix epoch. */
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -108,11 +108,6 @@
     return static_cast<std::size_t>(std::max(MinCallerSessions, settings.descriptors - ReservedDescriptors));
 }
 
-double toMilliseconds(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 void logDeletion(const DeletionDecision &deletion)
 {
     const PossibleExpiry expiry = deletion.expiry.value_or(PossibleExpiry());
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -29,11 +29,6 @@
     return crashFingerprint(request.service, httpRequest.method, httpRequest.target, bodyHash);
 }
 
-double toMilliseconds(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 bool mayHaveRunAfter(AttemptEnd end)
 {
     return end == AttemptEnd::Broken || end == AttemptEnd::Failed || end == AttemptEnd::TimedOut;
--- a/src/edge/ioloop.cpp
+++ b/src/edge/ioloop.cpp
@@ -18,7 +18,7 @@
 
 constexpr int MaxMissedKeepAlives = 2;
 
-int toMilliseconds(Duration duration)
+int toWholeMilliseconds(Duration duration)
 {
     return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
@@ -34,7 +34,7 @@
 {
     error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
-    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(toMilliseconds(timeouts.unacknowledged)), ignored);
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(toWholeMilliseconds(timeouts.unacknowledged)), ignored);
     socket.set_option(Asio::socket_base::keep_alive(true), ignored);
     socket.set_option(TcpOption<TCP_KEEPIDLE>(toWholeSeconds(timeouts.keepAliveInterval)), ignored);
     socket.set_option(TcpOption<TCP_KEEPINTVL>(toWholeSeconds(timeouts.keepAliveInterval)), ignored);
@@ -98,11 +98,7 @@
 
 void PeriodicTask::schedule()
 {
-    m_timer.expires_after(m_interval);
-    m_timer.async_wait([this](const error_code &error) {
-        if (error) {
-            return;
-        }
+    m_timer.start(m_interval, [this] {
         m_run();
         schedule();
     });
--- a/src/edge/ioloop.h
+++ b/src/edge/ioloop.h
@@ -60,7 +60,7 @@
     std::shared_ptr<std::uint64_t> m_generation;
 };
 
-/** Runs a function periodically on the loop until destroyed. */
+/** Runs a function periodically on the loop until destroyed. The function must not destroy the task. */
 class PeriodicTask
 {
 public:
@@ -69,7 +69,7 @@
 private:
     void schedule();
 
-    Asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     Duration m_interval;
     std::function<void()> m_run;
 };
--- a/src/edge/peersocket.cpp
+++ b/src/edge/peersocket.cpp
@@ -24,10 +24,15 @@
     receive();
 }
 
+PeerSocket::~PeerSocket()
+{
+    *m_alive = false;
+}
+
 void PeerSocket::receive()
 {
-    m_socket.async_receive(Asio::buffer(m_buffer), [this](const error_code &error, std::size_t bytes) {
-        if (error == Asio::error::operation_aborted) {
+    m_socket.async_receive(Asio::buffer(m_buffer), [this, alive = m_alive](const error_code &error, std::size_t bytes) {
+        if (!*alive || error == Asio::error::operation_aborted) {
             return;
         }
         // An ICMP error for a datagram sent earlier is reported here; no received message is affected.
--- a/src/edge/peersocket.h
+++ b/src/edge/peersocket.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,9 @@
     };
 
     PeerSocket(IoLoop &loop, Options options, Metrics &metrics, Receiver receiver);
+    ~PeerSocket();
+    PeerSocket(const PeerSocket &) = delete;
+    PeerSocket &operator=(const PeerSocket &) = delete;
 
     /** Sets the address of @p peer, as "IP:port". */
     void setAddress(const InstanceId &peer, const std::string &address);
@@ -46,6 +50,8 @@
     void sendTo(const Asio::ip::udp::endpoint &address, Wire::Envelope envelope);
 
     Options m_options;
+    /** Shared with the handler of a received datagram, which may already be queued on the loop when the socket is destroyed. */
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     Asio::ip::udp::socket m_socket;
     Receiver m_receiver;
     absl::flat_hash_map<InstanceId, Asio::ip::udp::endpoint> m_addresses;
--- a/src/edge/upstreamattempt.cpp
+++ b/src/edge/upstreamattempt.cpp
@@ -17,11 +17,6 @@
 // must not run twice therefore only use connections that were idle for a shorter time than this, or new ones.
 constexpr Duration MaxIdleTimeUnrepeatable = std::chrono::seconds(1);
 
-double toMilliseconds(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 } // namespace
 
 UpstreamAttempt::UpstreamAttempt(CallEnvironment &environment,
--- a/src/instance/adminview.cpp
+++ b/src/instance/adminview.cpp
@@ -66,8 +66,8 @@
     ServiceReport report{.service = service, .revision = version->revision};
     const ProbingStatus probing = upstreamMonitor.probing(service, ProcessClock::now());
     report.measuring = {.budgetPercent = version->document.measuring.budgetPercent,
-                        .allowedMs = std::chrono::duration<double, std::milli>(probing.allowed).count(),
-                        .spentMs = std::chrono::duration<double, std::milli>(probing.spent).count(),
+                        .allowedMs = toMilliseconds(probing.allowed),
+                        .spentMs = toMilliseconds(probing.spent),
                         .probes = probing.probes};
     if (const std::optional<DocumentStatus> status = table.status(service); status && !status->rejection.empty()) {
         report.remarks.push_back("The latest revision is not in force: " + status->rejection);
