--- a/include/filbertmount/edge/statemirror.h
+++ b/include/filbertmount/edge/statemirror.h
@@ -70,6 +70,7 @@
 
     /** Returns the changes of @p kind, which is one that instances replicate: routes or upstreams. */
     [[nodiscard]] const std::vector<StateChange> &of(StateKind kind) const;
+    /** Adds the effect of a further update. */
     void append(MirrorChanges other);
 };
 
--- a/include/filbertmount/edge/storecontact.h
+++ b/include/filbertmount/edge/storecontact.h
@@ -36,6 +36,7 @@
 public:
     explicit StoreContact(const StoreContactOptions &options = {});
 
+    /** Records a response to a call of this instance; ends an outage. */
     void recordResponse(Instant now);
     /** Records a call that failed or was refused. */
     void recordFailure(Instant now);
--- a/tests/edge/statemirrortest.cpp
+++ b/tests/edge/statemirrortest.cpp
@@ -161,3 +161,45 @@
     CHECK(follower.hash(StateKind::Upstreams) == mirror.hash(StateKind::Upstreams));
     CHECK(mirror.upstreamChangesSince(Revision(16), Start)->empty());
 }
+
+// Guards against an instance that takes a wrong suspicion of an outage over from another one.
+TEST_CASE("state mirror: upstreams that another instance keeps are added only by an instance without a state")
+{
+    StateMirror keeper;
+    keeper.recordStoreCall(true, Start);
+    keeper.applyListing(StateKind::Upstreams, {upstream("u1", 5), upstream("u2", 6)}, Revision(6), Start);
+    keeper.recordStoreCall(false, Start + 1s);
+    keeper.recordStoreCall(false, Start + 5s);
+    keeper.recordStoreCall(true, Start + 6s);
+    keeper.applyListing(StateKind::Upstreams, {upstream("u2", 6)}, Revision(20), Start + 6s);
+    REQUIRE(count(keeper) == 2);
+    const std::vector<StateChange> state = keeper.objects(StateKind::Upstreams, Start + 7s);
+
+    StateMirror fresh;
+    fresh.applyFullState(StateKind::Upstreams, state, Revision(20), Start + 7s);
+    CHECK(count(fresh) == 2);
+    fresh.tick(Start + 8s);
+    CHECK(count(fresh) == 2);
+    fresh.tick(Start + 8200ms);
+    CHECK(count(fresh) == 1);
+
+    StateMirror known;
+    known.applyListing(StateKind::Upstreams, {upstream("u2", 6)}, Revision(19), Start);
+    known.applyFullState(StateKind::Upstreams, state, Revision(20), Start + 7s);
+    CHECK(count(known) == 1);
+
+    // One that holds the upstream keeps it as well, unless it had contact with the store all the time.
+    for (const bool hadContact : {false, true}) {
+        StateMirror holder;
+        for (int second = 0; second <= (hadContact ? 7 : 0); ++second) {
+            holder.recordStoreCall(true, Start + std::chrono::seconds(second));
+        }
+        holder.applyListing(StateKind::Upstreams, {upstream("u1", 5), upstream("u2", 6)}, Revision(6), Start);
+        const auto later = keeper.upstreamChangesSince(Revision(6), Start + 7s);
+        REQUIRE(later.has_value());
+        holder.applyChanges(
+            StateKind::Upstreams, {.changes = *later, .storeRevision = Revision(20)}, Start + 7s, StateSource::Instance);
+        CHECK(count(holder) == (hadContact ? 1 : 2));
+        CHECK(holder.hash(StateKind::Upstreams) == keeper.hash(StateKind::Upstreams));
+    }
+}
