Judge a request at a stopping instance also when its turn comes

Test: a third case of "at the end of a shutdown, ..." in callerhandlertest; without the check in startAttempt() the fifth request is sent.

--- a/src/edge/callenvironment.h
+++ b/src/edge/callenvironment.h
@@ -2,6 +2,7 @@
 
 #include "edge/connectionpool.h"
 #include "edge/crashcheck.h"
+#include "edge/drainschedule.h"
 #include "edge/serversession.h"
 
 #include <filbertmount/edge/httpdialect.h>
@@ -12,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Filbertmount {
@@ -31,6 +33,8 @@
     BufferBudget &responseBuffers;
     /** Called when another upstream responded at the address of the given one. */
     std::function<void(const ServiceName &, const UpstreamId &)> onWrongUpstream;
+    /** Set while the instance is shutting down. */
+    std::optional<DrainSchedule> drain = {};
 };
 
 /** A request with its matched route, service and time limits. */
--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -53,23 +53,12 @@
 
 void CallerHandler::startDraining(const DrainSchedule &schedule)
 {
-    m_drain = schedule;
+    m_environment.drain = schedule;
 }
 
 bool CallerHandler::isDraining() const
 {
-    return m_drain.has_value();
-}
-
-bool CallerHandler::endsBeforeExit(const ServerRequest &request, const ForwardRoute &route) const
-{
-    if (!m_drain || deadlineOf(request, route) <= m_drain->exitAt) {
-        return true;
-    }
-    // While the balancer sends new connections, many requests arrive. Most end within their objective, and the caller of a
-    // repeatable one that is cut off can send it again.
-    const bool isStillInBalancer = ProcessClock::now() < m_drain->removedFromBalancerAt;
-    return route.isRepeatable && isStillInBalancer && request.arrival + route.latencyObjective <= m_drain->exitAt;
+    return m_environment.drain.has_value();
 }
 
 CallerLimits CallerHandler::limits() const
@@ -120,7 +109,8 @@
         respondDirectly(request, respond, {.status = NotFound}, "no route");
         return nullptr;
     }
-    if (!endsBeforeExit(request, *route)) {
+    const std::optional<DrainSchedule> &drain = m_environment.drain;
+    if (drain && !drain->allows(*route, deadlineOf(request, *route), request.arrival)) {
         respondDirectly(request,
                         respond,
                         {.status = Unavailable, .headers = {{.name = "Retry-After", .value = RetryAfterShutdown}}},
--- a/src/edge/callerhandler.h
+++ b/src/edge/callerhandler.h
@@ -7,18 +7,9 @@
 #include <filbertmount/routes/splitselector.h>
 
 #include <memory>
-#include <optional>
 
 namespace Filbertmount {
 
-/** The course of a shutdown. */
-struct DrainSchedule {
-    /** From this time on, the platform's load balancer sends no new connections. */
-    Instant removedFromBalancerAt;
-    /** When the process ends, whatever is still in progress. */
-    Instant exitAt;
-};
-
 /** Handles the requests of callers: finds the route of each request and forwards it to an upstream. Runs on the IoLoop. */
 class CallerHandler : public RequestHandler
 {
@@ -50,8 +41,6 @@
     /** The earlier one of the timeout of the route and the time that the caller still waits. */
     [[nodiscard]] Instant deadlineOf(const ServerRequest &request, const ForwardRoute &route) const;
     [[nodiscard]] Instant objectiveOf(const ServerRequest &request, const ForwardRoute &route) const;
-    /** Whether @p request is sure, or likely enough, to be answered before the process ends. */
-    [[nodiscard]] bool endsBeforeExit(const ServerRequest &request, const ForwardRoute &route) const;
     [[nodiscard]] Priority priorityOf(const ForwardRoute &route, const ServiceName &service) const;
 
     CallEnvironment &m_environment;
@@ -61,7 +50,6 @@
     SplitSelector m_splitSelector;
     HeldRequests m_heldRequests;
     bool m_isForwarding = false;
-    std::optional<DrainSchedule> m_drain;
 };
 
 } // namespace Filbertmount
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -174,6 +174,14 @@
         onDeadline();
         return;
     }
+    // A request that waited for its upstream since before the shutdown.
+    const std::optional<DrainSchedule> &drain = m_environment.drain;
+    if (drain && !drain->allows(*m_request.route, m_request.deadline, ProcessClock::now())) {
+        m_environment.crashGuard.ended(ticket);
+        m_environment.router.release(placement, {.outcome = AttemptOutcome::Unused});
+        endIfWaiting();
+        return;
+    }
     ++m_attemptCount;
     m_triedUpstreams.push_back(placement.upstream);
     m_lastAttempt = std::make_shared<UpstreamAttempt>(m_environment, m_request, placement, ticket, m_attemptCount);
--- a/tests/edge/callerhandlertest.cpp
+++ b/tests/edge/callerhandlertest.cpp
@@ -120,6 +120,28 @@
         CHECK(busy.result->status == 503);
         CHECK(busy.received() == 4);
     }
+    SUBCASE("that waited since before the shutdown, when its turn comes")
+    {
+        CallFixture busy({{""}, {""}, {""}, {""}, {Good}}, 1);
+        std::vector<std::shared_ptr<ForwardedCall>> calls;
+        constexpr std::size_t count = 5;
+        calls.reserve(count);
+        for (std::size_t index = 0; index < count; ++index) {
+            calls.push_back(busy.start(false, 4s));
+        }
+        REQUIRE(runUntil(busy.loop, [&] {
+            return busy.received() == 4;
+        }));
+        const Instant now = ProcessClock::now();
+        busy.environment.drain = DrainSchedule{.removedFromBalancerAt = now, .exitAt = now + 2s};
+        // Frees a slot.
+        calls.front()->abandon();
+        REQUIRE(runUntil(busy.loop, [&] {
+            return busy.result.has_value();
+        }));
+        CHECK(busy.result->status == 503);
+        CHECK(busy.received() == 4);
+    }
     SUBCASE("in progress")
     {
         CallFixture fixture({{""}}, 1);
