--- a/tests/edge/callerhandlertest.cpp
+++ b/tests/edge/callerhandlertest.cpp
@@ -48,6 +48,14 @@
     CallerHandler handler;
 };
 
+/** Ends the calls that are still in progress; until then, a call and its connection keep each other alive. */
+void abandonAll(const std::vector<std::shared_ptr<ForwardedCall>> &calls)
+{
+    for (const std::shared_ptr<ForwardedCall> &call : calls) {
+        call->abandon();
+    }
+}
+
 } // namespace
 
 // Guards against requests that a stopping instance took late in its grace period, passed on, and cut off without an answer when
@@ -119,6 +127,7 @@
         REQUIRE(busy.result.has_value());
         CHECK(busy.result->status == 503);
         CHECK(busy.received() == 4);
+        abandonAll(calls);
     }
     SUBCASE("that waited since before the shutdown, when its turn comes")
     {
@@ -141,6 +150,7 @@
         }));
         CHECK(busy.result->status == 503);
         CHECK(busy.received() == 4);
+        abandonAll(calls);
     }
     SUBCASE("in progress")
     {
@@ -151,5 +161,6 @@
         }));
         call->endIfWaiting();
         CHECK_FALSE(fixture.result.has_value());
+        call->abandon();
     }
 }
