--- a/include/filbertmount/edge/edgesettings.h
+++ b/include/filbertmount/edge/edgesettings.h
@@ -6,6 +6,8 @@
 #include <filbertmount/types/ids.h>
 #include <filbertmount/types/instant.h>
 
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,36 @@
     Duration window = std::chrono::seconds(10);
 };
 
+/** Bound on the requests of one client account, over all entry instances together. */
+struct QuotaSettings {
+    /** Length of the sliding window. */
+    Duration window = std::chrono::seconds(5);
+    /** Share by which an account may exceed its limit within a window. */
+    double overshoot = 0.1;
+    /** Requests that an account may make beyond that, per window. */
+    double slack = 20;
+};
+
+/** Bound on the requests to one cold upstream, over all entry instances together. */
+struct WarmupSettings {
+    /** Multiple of the rate that the service states for its cold upstreams. */
+    double overshoot = 1.5;
+    /** Requests beyond that, per second. */
+    double slack = 8;
+};
+
+/** How availability zones are used. */
+struct ZoneSettings {
+    /** Whether operators can evacuate zones through the store. */
+    bool evacuations = false;
+    /** Region of each zone of the deployment. */
+    std::map<AvailabilityZone, Region> regions;
+    /** Milliseconds of a caller's time that one kilobyte between zones is worth; nothing to prefer the own zone by a constant. */
+    std::optional<double> crossingMsPerKilobyte;
+    /** Milliseconds of a caller's time that each request to another zone costs; the measured round trip if not set. */
+    std::optional<double> crossingMs;
+};
+
 /** Checked settings of filbertmount-edge. */
 struct EdgeSettings {
     /** Name of the machine; the same after a restart of the process. */
@@ -50,6 +82,11 @@
     double processors = 1;
     /** See SlotDispatcherOptions. */
     double ownZoneAdvantage = 2;
+    /** Nothing if quotas of client accounts are not enforced. */
+    std::optional<QuotaSettings> quotas;
+    /** Nothing if cold upstreams are not protected. */
+    std::optional<WarmupSettings> warmup;
+    ZoneSettings zones;
 };
 
 /** Parses and validates @p text; the error names the missing, invalid or unknown keys. */
--- a/src/edge/edgesettings.cpp
+++ b/src/edge/edgesettings.cpp
@@ -18,6 +18,9 @@
 constexpr double MinProcessors = 0.001;
 constexpr double MaxProcessors = 1024;
 constexpr double MaxOwnZoneAdvantage = 100;
+constexpr double MaxOvershoot = 100;
+constexpr double MaxExtraRequests = 1e6;
+constexpr double MaxCrossingMs = 10'000;
 
 Duration toDuration(double seconds)
 {
@@ -101,6 +104,43 @@
     retries.window = toDuration(window);
 }
 
+void readQuotas(TomlTable &table, QuotaSettings &quotas)
+{
+    double window = std::chrono::duration<double>(quotas.window).count();
+    table.readNumber("window_s", window, {.lowest = 1, .highest = MaxSeconds});
+    table.readNumber("overshoot", quotas.overshoot, {.lowest = 0, .highest = MaxOvershoot});
+    table.readNumber("slack", quotas.slack, {.lowest = 0, .highest = MaxExtraRequests});
+    quotas.window = toDuration(window);
+}
+
+void readWarmup(TomlTable &table, WarmupSettings &warmup)
+{
+    table.readNumber("overshoot", warmup.overshoot, {.lowest = 1, .highest = MaxOvershoot});
+    table.readNumber("slack", warmup.slack, {.lowest = 0, .highest = MaxExtraRequests});
+}
+
+void readOptionalNumber(TomlTable &table, std::string_view key, std::optional<double> &target, Range<double> range)
+{
+    double value = 0;
+    if (table.readNumber(key, value, range)) {
+        target = value;
+    }
+}
+
+void readZones(TomlTable &table, ZoneSettings &zones)
+{
+    table.readBool("evacuations", zones.evacuations);
+    readOptionalNumber(table, "crossing_ms_per_kb", zones.crossingMsPerKilobyte, {.lowest = 0, .highest = MaxCrossingMs});
+    readOptionalNumber(table, "crossing_ms", zones.crossingMs, {.lowest = 0, .highest = MaxCrossingMs});
+    table.readTableArray("zone", [&zones](TomlTable &entry) {
+        std::string name;
+        std::string region;
+        requireText(entry, "name", "the name of an availability zone", name, checkName);
+        requireText(entry, "region", "the name of its region", region, checkName);
+        zones.regions[AvailabilityZone(name)] = Region(region);
+    });
+}
+
 void readSections(TomlTable &root, EdgeSettings &settings)
 {
     for (const std::string_view section : {"instance", "listen", "store", "shutdown", "retries"}) {
@@ -140,6 +180,15 @@
     root.readTable("routing", [&](TomlTable &table) {
         table.readNumber("own_zone_advantage", settings.ownZoneAdvantage, {.lowest = 1, .highest = MaxOwnZoneAdvantage});
     });
+    root.readTable("quotas", [&](TomlTable &table) {
+        readQuotas(table, settings.quotas.emplace());
+    });
+    root.readTable("warmup", [&](TomlTable &table) {
+        readWarmup(table, settings.warmup.emplace());
+    });
+    root.readTable("zones", [&](TomlTable &table) {
+        readZones(table, settings.zones);
+    });
     root.reportUnknownKeys();
 }
 
--- a/tests/edge/edgesettingstest.cpp
+++ b/tests/edge/edgesettingstest.cpp
@@ -68,6 +68,36 @@
     CHECK(settings.ownZoneAdvantage == 1.5);
 }
 
+TEST_CASE("edge settings: quotas, warm-up and zones are off unless their sections are present")
+{
+    const EdgeSettings without = parseEdgeSettings(Valid, "node.toml").value();
+    CHECK_FALSE(without.quotas);
+    CHECK_FALSE(without.warmup);
+    CHECK_FALSE(without.zones.evacuations);
+    CHECK_FALSE(without.zones.crossingMsPerKilobyte);
+
+    const std::string sections = R"([quotas]
+window_s = 5
+overshoot = 0.1
+slack = 20
+[warmup]
+overshoot = 1.5
+slack = 8
+[zones]
+evacuations = true
+crossing_ms_per_kb = 0.5
+zone = [{ name = "riga-a", region = "lv-riga" }]
+)";
+    const EdgeSettings with = parseEdgeSettings(Valid + sections, "node.toml").value();
+    CHECK(with.quotas.value().window == std::chrono::seconds(5));
+    CHECK(with.quotas.value().overshoot == 0.1);
+    CHECK(with.quotas.value().slack == 20);
+    CHECK(with.warmup.value().overshoot == 1.5);
+    CHECK(with.zones.evacuations);
+    CHECK(with.zones.crossingMsPerKilobyte.value() == 0.5);
+    CHECK(with.zones.regions.at(AvailabilityZone("riga-a")) == Region("lv-riga"));
+}
+
 TEST_CASE("edge settings: an error names the missing, invalid or unknown key")
 {
     struct Row {
@@ -84,6 +114,9 @@
                            Row{"share = 0.2\n", "", "retries.share"},
                            Row{"processors = 0.2", "processors = 0", "limits.processors"},
                            Row{"own_zone_advantage = 1.5", "own_zone_advantage = 0.5", "routing.own_zone_advantage"},
+                           Row{"[routing]\n", "[quotas]\nwindow_s = 0\n[routing]\n", "quotas.window_s"},
+                           Row{"[routing]\n", "[warmup]\novershoot = 0.5\n[routing]\n", "warmup.overshoot"},
+                           Row{"[routing]\n", "[zones]\nevacuations = 1\n[routing]\n", "zones.evacuations"},
                            Row{"[limits]\n", "[limits]\nfoo = 1\n", "limits.foo"},
                            Row{"[store]\naddress = \"10.0.0.9:90\"\n", "", "store"}}) {
         CAPTURE(row.key);
