Share the slots of a service fairly among flows, and tell eight ranks apart

Cause: the dispatcher's queue knew two priorities and the order of arrival, so a caller with many waiting requests delayed all others of its rank, and routes of the second and third rank were equal. Change: requests of equal rank belong to flows that take turns (start-time fair queueing); a full queue sheds the last request of the flow with the most entries; the expected wait counts only the turns of other flows that come first. Requests without a flow are served as before, in the order of arrival.

--- a/bench/policysim/latebinding.h
+++ b/bench/policysim/latebinding.h
@@ -45,7 +45,7 @@
         ServiceRouterOutput output;
         router(query.instance)
             .request({.request = query.attempt,
-                      .priority = query.priority,
+                      .rank = static_cast<std::uint8_t>(query.priority),
                       .timeLeft = Duration(query.deadline - m_environment.loop.now()),
                       .excluded = query.excluded,
                       .isImmediate = query.isHedge},
--- a/include/filbertmount/routing/placement.h
+++ b/include/filbertmount/routing/placement.h
@@ -15,10 +15,19 @@
 
 namespace Filbertmount {
 
+/** Number of ranks that the queue of a dispatcher tells apart. */
+inline constexpr std::size_t QueueRanks = 8;
+
+/** Requests that take turns with those of other flows, for example the requests of one client account. */
+using FlowId = NumberId<struct FlowTag>;
+
 /** Asks the router for an upstream for one attempt. */
 struct PlacementQuery {
     ServiceName service;
     Priority priority = Priority::Interactive;
+    /** See SlotRequest; derived from the priority if not set. */
+    std::optional<std::uint8_t> rank = {};
+    FlowId flow = {};
     /** The attempt is not started when it cannot finish before this time; zero means no deadline. */
     Instant deadline;
     /** Time by which the caller wants the response (latency objective); nothing when not stated. */
--- a/include/filbertmount/routing/slotdispatcher.h
+++ b/include/filbertmount/routing/slotdispatcher.h
@@ -82,8 +82,10 @@
     void serveQueue(Instant now, SlotOutbox &outbox);
     void grant(MemberIndex member, const SlotRequest &request, UpstreamIndex upstream, Instant now, SlotOutbox &outbox);
     void refuse(MemberIndex member, std::uint64_t request, RefusalReason reason, SlotOutbox &outbox) const;
-    /** Sheds the last queued request if it is late or has a lower priority than @p priority; returns whether it did. */
-    bool shedForPriority(Priority priority, SlotOutbox &outbox);
+    /** Sheds the last queued request if @p request may take its place; returns whether it did. */
+    bool shedFor(const SlotRequest &request, SlotOutbox &outbox);
+    /** Whether @p queued is late, less urgent than @p request, or of a flow that has more requests in the queue. */
+    [[nodiscard]] bool mayReplace(const SlotQueue::Entry &queued, const SlotRequest &request) const;
     void enqueue(MemberIndex member, const SlotRequest &request, Instant now, SlotOutbox &outbox);
     /** Sends the expected wait to the member, so that it does not time out meanwhile. */
     void announceWait(SlotQueue::Entry &entry, std::size_t ahead, Instant now, SlotOutbox &outbox) const;
--- a/include/filbertmount/routing/slotmessages.h
+++ b/include/filbertmount/routing/slotmessages.h
@@ -16,7 +16,10 @@
 /** Requests one slot from the dispatcher. */
 struct SlotRequest {
     std::uint64_t request = 0;
-    Priority priority = Priority::Interactive;
+    /** Urgency relative to the service's other requests; 0 is the most urgent, all from QueueRanks - 1 on are equal. */
+    std::uint8_t rank = 0;
+    /** Requests of equal rank share the slots fairly by flow. */
+    FlowId flow;
     /** Time from sending the message to the request's deadline. */
     Duration timeLeft{0};
     /** Time from sending the message to the request's latency objective; nothing when none was stated. */
--- a/include/filbertmount/routing/slotqueue.h
+++ b/include/filbertmount/routing/slotqueue.h
@@ -15,8 +15,11 @@
 
 /**
  * Bounded queue of slot requests. Ordered by rank: requests that can still meet their objective come before late ones, and
- * within these Priority::Interactive comes before Priority::Patient. Requests of equal rank are ordered by arrival, oldest
- * first unless set otherwise. Not thread-safe.
+ * within these the more urgent rank comes first.
+ *
+ * Requests of equal rank belong to flows, for example one for each client account. Flows of a rank take turns (start-time fair
+ * queueing), so that one with many requests delays only its own. Within a flow, requests are ordered by arrival, oldest first
+ * unless set otherwise. Not thread-safe.
  */
 class SlotQueue
 {
@@ -38,6 +41,8 @@
         Instant responseDue;
         Position next = None;
         Position previous = None;
+        Position nextInFlow = None;
+        Position previousInFlow = None;
     };
 
     explicit SlotQueue(std::size_t capacity);
@@ -48,46 +53,68 @@
 
     Position push(Entry entry);
     void remove(Position position);
+    /** Removes an entry that gets a slot, which counts as a turn of its flow. */
+    void removeServed(Position position);
     /** Marks an entry as late and moves it behind all entries that can still meet their objectives. */
     void demote(Position position);
     /**
-     * Sets whether the newest entries of equal rank come first. Under overload, serving the oldest first would serve each of
+     * Sets whether the newest entries of a flow come first. Under overload, serving the oldest first would serve each of
      * them just after its objective.
      */
     void setNewestFirst(bool isNewestFirst);
 
-    /** First entry in the order of service; None when empty. */
+    /** The entry that is served next; None when empty. */
     [[nodiscard]] Position front() const;
+    /** First entry in the order of arrival within the ranks, from which next() visits all entries; None when empty. */
+    [[nodiscard]] Position first() const;
     [[nodiscard]] Position next(Position position) const;
-    /** Last entry in the order of service, which is shed first; None when empty. */
+    /**
+     * Entry that is shed first: of the last rank, the last one of the flow with the most entries; None when empty.
+     */
     [[nodiscard]] Position last() const;
     [[nodiscard]] Position find(MemberIndex member, std::uint64_t request) const;
-    /** Number of entries that rank above or equal to a new one. */
-    [[nodiscard]] std::size_t countAhead(Priority priority, bool isLate = false) const;
+    /** Number of entries that are served before a new one. */
+    [[nodiscard]] std::size_t countAhead(const SlotRequest &request, bool isLate = false) const;
+    /** Number of entries of the flow of @p request and of its rank. */
+    [[nodiscard]] std::size_t flowSize(const SlotRequest &request, bool isLate = false) const;
 
     Entry &operator[](Position position);
 
 private:
-    static constexpr std::size_t Priorities = 2;
-    /** Ranks of the entries in time, one per priority, followed by those of the late entries. */
-    static constexpr std::size_t Ranks = 2 * Priorities;
+    /** Lists of entries in time, one per rank, followed by those of the late entries. */
+    static constexpr std::size_t Lists = 2 * QueueRanks;
+
+    /** The entries of one flow and rank, in the order of arrival. */
+    struct Flow {
+        Position first = None;
+        Position last = None;
+        std::size_t size = 0;
+        /** Turns that the flow had, in the virtual time of its list. */
+        std::uint64_t turns = 0;
+    };
 
     /** Doubly linked list of the entries of one rank, in the order of arrival. */
     struct RankList {
         Position first = None;
         Position last = None;
         std::size_t size = 0;
+        absl::flat_hash_map<FlowId, Flow> flows;
+        /** Turns of the flow that was served last; a flow that returns starts here, so it cannot save up turns. */
+        std::uint64_t virtualTime = 0;
     };
 
-    static std::size_t rankOf(Priority priority, bool isLate);
+    static std::size_t listOf(const SlotRequest &request, bool isLate);
     void link(Position position);
     void unlink(Position position);
-    [[nodiscard]] Position frontFrom(std::size_t rank) const;
+    void linkInFlow(Position position, RankList &list);
+    void unlinkFromFlow(Position position, RankList &list);
+    [[nodiscard]] Position firstFrom(std::size_t list) const;
+    [[nodiscard]] Position nextTurn(const RankList &list) const;
 
     std::size_t m_capacity;
     std::vector<Entry> m_entries;
     std::vector<Position> m_free;
-    std::array<RankList, Ranks> m_rankLists;
+    std::array<RankList, Lists> m_rankLists;
     bool m_isNewestFirst = false;
     absl::flat_hash_map<std::pair<MemberIndex, std::uint64_t>, Position> m_positions;
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -202,7 +202,8 @@
     }
     const Instant time = now();
     SlotRequest request{.request = ++service.lastRequest,
-                        .priority = query.priority,
+                        .rank = query.rank.value_or(static_cast<std::uint8_t>(query.priority)),
+                        .flow = query.flow,
                         .timeLeft = query.deadline == Instant{} ? TimeLeftWithoutDeadline : query.deadline - time,
                         .objectiveLeft = query.objective ? std::optional(*query.objective - time) : std::nullopt,
                         .excluded = {},
--- a/src/routing/slotdispatcher.cpp
+++ b/src/routing/slotdispatcher.cpp
@@ -60,8 +60,8 @@
 void SlotDispatcher::stop()
 {
     m_isRunning = false;
-    while (m_queue.front() != SlotQueue::None) {
-        m_queue.remove(m_queue.front());
+    while (m_queue.first() != SlotQueue::None) {
+        m_queue.remove(m_queue.first());
     }
     m_grants.clear();
     m_reportedAttempts.clear();
@@ -93,7 +93,7 @@
         refuse(from, request.request, RefusalReason::QueueFull, outbox);
         return;
     }
-    const bool mayGrant = !isWaitingForReports(now) && m_queue.countAhead(request.priority, isLate(request)) == 0;
+    const bool mayGrant = !isWaitingForReports(now) && m_queue.countAhead(request, isLate(request)) == 0;
     const UpstreamIndex upstream = mayGrant ? chooseUpstream(request) : SlotSelector::None;
     if (upstream != SlotSelector::None) {
         grant(from, request, upstream, now, outbox);
@@ -161,7 +161,7 @@
 void SlotDispatcher::enqueue(MemberIndex member, const SlotRequest &request, Instant now, SlotOutbox &outbox)
 {
     const bool isLateRequest = isLate(request);
-    const std::size_t ahead = m_queue.countAhead(request.priority, isLateRequest);
+    const std::size_t ahead = m_queue.countAhead(request, isLateRequest);
     const bool goesFirst = isOverloaded() && request.objectiveLeft && !isLateRequest;
     const Duration wait = goesFirst ? Duration::zero() : expectedWait(ahead);
     const Duration needed = wait + m_table.meanServiceTime() / ShortServiceDivisor;
@@ -172,7 +172,7 @@
     if (m_queue.find(member, request.request) != SlotQueue::None) {
         return;
     }
-    if (m_queue.isFull() && !shedForPriority(request.priority, outbox)) {
+    if (m_queue.isFull() && !shedFor(request, outbox)) {
         refuse(member, request.request, RefusalReason::QueueFull, outbox);
         return;
     }
@@ -197,10 +197,10 @@
     return static_cast<double>(m_queue.size()) >= NewestFirstQueuePerSlot * std::max(1, m_table.totalLimit());
 }
 
-bool SlotDispatcher::shedForPriority(Priority priority, SlotOutbox &outbox)
+bool SlotDispatcher::shedFor(const SlotRequest &request, SlotOutbox &outbox)
 {
     const SlotQueue::Position last = m_queue.last();
-    if (last == SlotQueue::None || (m_queue[last].request.priority <= priority && !m_queue[last].isLate)) {
+    if (last == SlotQueue::None || !mayReplace(m_queue[last], request)) {
         return false;
     }
     refuse(m_queue[last].member, m_queue[last].request.request, RefusalReason::Shed, outbox);
@@ -208,6 +208,14 @@
     return true;
 }
 
+bool SlotDispatcher::mayReplace(const SlotQueue::Entry &queued, const SlotRequest &request) const
+{
+    if (queued.isLate || queued.request.rank > request.rank) {
+        return true;
+    }
+    return queued.request.rank == request.rank && m_queue.flowSize(queued.request) > m_queue.flowSize(request) + 1;
+}
+
 Duration SlotDispatcher::expectedWait(std::size_t ahead) const
 {
     const auto slots = static_cast<std::int64_t>(std::max(1, m_table.totalLimit()));
@@ -300,7 +308,7 @@
 {
     removeMemberCounts(member, std::numeric_limits<std::uint64_t>::max());
     std::erase(m_missingReports, member);
-    for (auto position = m_queue.front(); position != SlotQueue::None;) {
+    for (auto position = m_queue.first(); position != SlotQueue::None;) {
         const SlotQueue::Position following = m_queue.next(position);
         if (m_queue[position].member == member) {
             m_queue.remove(position);
@@ -340,11 +348,13 @@
         }
         if (upstream == SlotSelector::None) {
             ++skipped;
-        } else {
-            grant(entry.member, entry.request, upstream, now, outbox);
-            m_queue.remove(position);
+            position = following;
+            continue;
         }
-        position = following;
+        grant(entry.member, entry.request, upstream, now, outbox);
+        m_queue.removeServed(position);
+        // Another flow may have the next turn, unless requests were skipped that would be chosen again.
+        position = skipped == 0 ? m_queue.front() : following;
     }
 }
 
@@ -362,7 +372,7 @@
 {
     const bool wasOverloaded = isOverloaded();
     std::size_t ahead = 0;
-    for (auto position = m_queue.front(); position != SlotQueue::None;) {
+    for (auto position = m_queue.first(); position != SlotQueue::None;) {
         const SlotQueue::Position following = m_queue.next(position);
         SlotQueue::Entry &entry = m_queue[position];
         if (now + m_table.meanServiceTime() / ShortServiceDivisor > entry.deadline) {
--- a/src/routing/slotwire.cpp
+++ b/src/routing/slotwire.cpp
@@ -31,7 +31,8 @@
         Wire::SlotRequest &wire = *m_body.mutable_slot_request();
         wire.set_service(m_service.value());
         wire.set_request(request.request);
-        wire.set_priority(static_cast<std::uint32_t>(request.priority));
+        wire.set_priority(request.rank);
+        wire.set_flow(request.flow.value());
         wire.set_deadline_us(toMicroseconds(request.timeLeft));
         if (request.objectiveLeft) {
             wire.set_objective_us(toMicroseconds(*request.objectiveLeft));
@@ -110,7 +111,8 @@
 ReceivedSlotMessage read(const Wire::SlotRequest &wire, const UpstreamTable &table)
 {
     SlotRequest request{.request = wire.request(),
-                        .priority = wire.priority() == 0 ? Priority::Interactive : Priority::Patient,
+                        .rank = static_cast<std::uint8_t>(std::min<std::uint32_t>(wire.priority(), QueueRanks - 1)),
+                        .flow = FlowId(wire.flow()),
                         .timeLeft = fromMicroseconds(wire.deadline_us()),
                         .objectiveLeft =
                             wire.has_objective_us() ? std::optional(fromMicroseconds(wire.objective_us())) : std::nullopt,
--- a/tests/routing/routernetworktest.cpp
+++ b/tests/routing/routernetworktest.cpp
@@ -176,10 +176,11 @@
         return std::get<SlotMessage>(received);
     };
     const SlotMessage sent =
-        SlotRequest{.request = 7, .priority = Priority::Patient, .timeLeft = 3ms, .excluded = {1}, .isImmediate = true};
+        SlotRequest{.request = 7, .rank = 1, .flow = FlowId(9), .timeLeft = 3ms, .excluded = {1}, .isImmediate = true};
     const auto request = std::get<SlotRequest>(roundTrip(sent));
     CHECK(request.request == 7);
-    CHECK(request.priority == Priority::Patient);
+    CHECK(request.rank == 1);
+    CHECK(request.flow == FlowId(9));
     CHECK(request.timeLeft == 3ms);
     CHECK(request.excluded.at(0) == 1);
     CHECK(request.isImmediate);
--- a/tests/routing/slotdispatchertest.cpp
+++ b/tests/routing/slotdispatchertest.cpp
@@ -38,7 +38,10 @@
 
     void requestSlot(MemberIndex member, std::uint64_t request, Priority priority = Priority::Interactive, Duration left = 10s)
     {
-        dispatcher.handle(member, SlotRequest{.request = request, .priority = priority, .timeLeft = left}, Start, outbox);
+        dispatcher.handle(member,
+                          SlotRequest{.request = request, .rank = static_cast<std::uint8_t>(priority), .timeLeft = left},
+                          Start,
+                          outbox);
     }
 
     /** Removes the messages of type T from the outbox and returns them. */
