Authenticate requests by the API keys of client accounts

Cause: the operator's configuration may list client accounts with keys, priorities and limits (part A of docs/design/accounts-and-zones.md). The instances ignored the table and passed keys on to upstreams. Each request on a route that is not exempt needs a key. A request with an unknown key or route waits up to 300 ms and a quarter of its time left for a newer configuration; 401 follows only if the store confirmed the configuration within the last second, else 503. Upstreams get the account's name and never the key, and Connection cannot remove headers that the instance sets; a request whose id was named there ended in 502 before. Requests by account are counted in a bounded number of series. Without the table, messages and forwarded requests are the same as before. The whole test suite and the lint were not run. allowed_regions is parsed and replicated, but not enforced yet.

--- a/include/filbertmount/edge/statemirror.h
+++ b/include/filbertmount/edge/statemirror.h
@@ -78,7 +78,8 @@
  * An entry instance's local copy of the store's objects. Sans-I/O, not thread-safe.
  *
  * Updates never replace newer data by older: of two revisions of an object the higher one is kept, a listing that is older
- * than the mirror is ignored, and a route set replaces only one with a lower version.
+ * than the mirror is ignored, and a route set replaces only one with a lower version, except for accounts that the store changed
+ * under the same version.
  *
  * Upstreams whose entry may have expired during an outage stay in use for a grace time, but the mirror no longer counts them
  * among the objects of the store: they are not part of the hash, so mirrors at the same revision agree. A mirror that had a
@@ -170,6 +171,11 @@
     /** Adds a malformed object to @p changes unless the same revision of it was rejected before. */
     void reject(const StateObject &object, const std::string &reason, MirrorChanges &changes);
     void applyRoutes(StateObject object, MirrorChanges &changes);
+    /**
+     * Whether @p received replaces the routes in force: its version is higher, or it is the same and the accounts differ, because
+     * the store changed them later or those in force came through an instance of a program version that does not pass them on.
+     */
+    [[nodiscard]] bool isNewer(const RouteSet &received, Revision revision) const;
     void applyUpstream(StateObject object, MirrorChanges &changes);
     void remove(StateKind kind, const Deletion &deletion, Instant now, MirrorChanges &changes);
     void removeUpstream(const Deletion &deletion, Instant now, MirrorChanges &changes);
--- a/include/filbertmount/routes/routeset.h
+++ b/include/filbertmount/routes/routeset.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <filbertmount/accounts/accountindex.h>
+#include <filbertmount/accounts/clientaccount.h>
 #include <filbertmount/types/ids.h>
 #include <filbertmount/types/instant.h>
 
@@ -40,6 +42,10 @@
     int maxAttempts = 1;
     /** Never empty. */
     std::vector<ForwardTarget> targets;
+    /** Whether requests need no API key although the route set has accounts. */
+    bool isKeyExempt = false;
+    /** Regions whose upstreams may serve the route; all when empty. */
+    std::vector<Region> allowedRegions = {};
 
     bool operator==(const ForwardRoute &) const = default;
 };
@@ -71,9 +77,15 @@
     std::vector<ForwardRoute> routes;
     std::vector<ServiceAccess> services;
     CallerLimits limits;
+    /** Whether requests need the API key of an account, unless their route is exempt; accounts exist only then. */
+    bool requiresKey = false;
+    std::vector<ClientAccount> accounts = {};
 };
 
-/** Finds the route of a request. Immutable, so requests in progress keep using the version they started with. */
+/** Returns a hash over the accounts and whether a key is required; 0 for a route set without accounts. */
+std::uint64_t accessHash(const RouteSet &routes);
+
+/** Finds the route and the account of a request. Immutable, so requests in progress keep using the version they started with. */
 class RouteIndex
 {
 public:
@@ -90,10 +102,17 @@
      */
     [[nodiscard]] const ForwardRoute *find(std::string_view host, std::string_view target) const;
 
+    /** Returns the account that has the API key with @p digest, or null. */
+    [[nodiscard]] const ClientAccount *findAccount(const Sha256Digest &digest) const;
+    /** Returns accessHash() of the route set. */
+    [[nodiscard]] std::uint64_t accessHash() const;
+
 private:
     RouteSet m_routes;
     /** Positions in m_routes by host, those with the longest prefix first. */
     absl::flat_hash_map<std::string, std::vector<std::size_t>> m_byHost;
+    AccountIndex m_accounts;
+    std::uint64_t m_accessHash = 0;
 };
 
 /** Returns @p host in lower case and without a port. */
--- a/include/filbertmount/types/ids.h
+++ b/include/filbertmount/types/ids.h
@@ -87,6 +87,8 @@
 
 using ServiceName = StringId<struct ServiceNameTag>;
 using TeamName = StringId<struct TeamNameTag>;
+/** Names a client account; sent to upstreams. */
+using AccountName = StringId<struct AccountNameTag>;
 using UpstreamId = StringId<struct UpstreamIdTag>;
 /** Identifies one process run of filbertmountd; a restarted process has a new one. */
 using InstanceId = StringId<struct InstanceIdTag>;
--- a/src/edge/callenvironment.h
+++ b/src/edge/callenvironment.h
@@ -35,14 +35,18 @@
     std::function<void(const ServiceName &, const UpstreamId &)> onWrongUpstream;
     /** Set while the instance is shutting down. */
     std::optional<DrainSchedule> drain = {};
+    /** Returns when the store last confirmed the routes of this instance; nothing if unknown. */
+    std::function<std::optional<Instant>()> routesConfirmedAt = {};
 };
 
 /** A request with its matched route, service and time limits. */
 struct RoutedRequest {
     ServerRequest request;
-    /** Keeps @c route valid when a newer route set replaces this one. */
+    /** Keeps @c route and @c account valid when a newer route set replaces this one. */
     std::shared_ptr<const RouteIndex> routes;
     const ForwardRoute *route = nullptr;
+    /** Account of the request's API key, kept valid by @c routes; null if the request needs none. */
+    const ClientAccount *account = nullptr;
     ServiceName service;
     Priority priority = Priority::Interactive;
     /** Id that the caller gave to the request, the same for all attempts of this call; empty without one. */
--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -8,20 +8,33 @@
 
 namespace {
 
+constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
 // In seconds; an instance receives its routes within about a second of its start.
 constexpr const char *RetryAfterNoRoutes = "0.3";
 // In seconds; the connection closes with the response, and another instance can serve the request at once.
 constexpr const char *RetryAfterShutdown = "0.05";
+// In seconds; a newer configuration reaches all instances within about this time.
+constexpr const char *RetryAfterOutdated = "0.3";
+// Stands for the key of requests that wait because of their route.
+constexpr std::uint64_t NoKey = 0;
+// A request without a route has no timeout; most routes have a longer one.
+constexpr Duration TimeoutWithoutRoute = std::chrono::seconds(1);
 
 } // namespace
 
 CallerHandler::CallerHandler(CallEnvironment &environment, std::uint64_t seed)
     : m_environment(environment)
     , m_splitSelector(seed)
-    , m_heldRequests(environment.loop, [this](ServerRequest request, ResponseHandler respond) {
-        return forward(std::move(request), std::move(respond));
+    , m_heldRequests(environment.loop,
+                     [this](ServerRequest request, ResponseHandler respond) {
+                         return forward(std::move(request), std::move(respond));
+                     })
+    , m_authenticator({.keyHeader = environment.dialect.apiKey})
+    , m_accountMetrics(environment.metrics)
+    , m_pendingRequests(environment.loop, [this](ServerRequest request, ResponseHandler respond, bool isFinal) {
+        return forward(std::move(request), std::move(respond), isFinal);
     })
 {
 }
@@ -42,11 +55,36 @@
     m_routes = std::move(routes);
     m_splitSelector.retain(m_routes->routes());
     m_environment.routeTimes.retain(m_routes->routes());
+    updateMostUrgentRanks();
+    m_authenticator.forgetRefusals();
+}
+
+void CallerHandler::retryPendingRequests()
+{
+    m_pendingRequests.retryAll();
+}
+
+void CallerHandler::updateMostUrgentRanks()
+{
+    const RouteSet &routes = m_routes->routes();
+    // Rank of the most urgent account that has one, and whether requests of other accounts have the rank of their route.
+    std::optional<int> accountRank;
+    bool isRouteRankUsed = routes.accounts.empty();
+    for (const ClientAccount &account : routes.accounts) {
+        isRouteRankUsed = isRouteRankUsed || !account.rank;
+        if (account.rank) {
+            accountRank = std::min(accountRank.value_or(*account.rank), *account.rank);
+        }
+    }
     m_mostUrgentRank.clear();
-    for (const ForwardRoute &route : m_routes->routes().routes) {
+    for (const ForwardRoute &route : routes.routes) {
+        int rank = route.rank;
+        if (accountRank && !route.isKeyExempt) {
+            rank = isRouteRankUsed ? std::min(rank, *accountRank) : *accountRank;
+        }
         for (const ForwardTarget &target : route.targets) {
-            const auto [rank, isNew] = m_mostUrgentRank.try_emplace(target.service, route.rank);
-            rank->second = std::min(rank->second, route.rank);
+            const auto [mostUrgent, isNew] = m_mostUrgentRank.try_emplace(target.service, rank);
+            mostUrgent->second = std::min(mostUrgent->second, rank);
         }
     }
 }
@@ -66,27 +104,27 @@
     return m_routes ? m_routes->routes().limits : CallerLimits();
 }
 
-Instant CallerHandler::deadlineOf(const ServerRequest &request, const ForwardRoute &route) const
+Instant CallerHandler::deadlineOf(const ServerRequest &request, Duration routeTimeout) const
 {
     const std::string *timeLeftHeader = findHeader(request.headers, m_environment.dialect.timeLeft);
     const std::optional<std::int64_t> milliseconds = timeLeftHeader != nullptr ? parseNumber(*timeLeftHeader) : std::nullopt;
     if (!milliseconds || *milliseconds < 0) {
-        return request.arrival + route.timeout;
+        return request.arrival + routeTimeout;
     }
-    return request.arrival + std::min<Duration>(route.timeout, std::chrono::milliseconds(*milliseconds));
+    return request.arrival + std::min<Duration>(routeTimeout, std::chrono::milliseconds(*milliseconds));
 }
 
 Instant CallerHandler::objectiveOf(const ServerRequest &request, const ForwardRoute &route) const
 {
     // A caller that waits for less time than the route allows has spent the difference on earlier attempts.
-    const Duration left = deadlineOf(request, route) - request.arrival;
+    const Duration left = deadlineOf(request, route.timeout) - request.arrival;
     const Duration used = std::max(Duration::zero(), route.timeout - left);
     return request.arrival + route.latencyObjective - used;
 }
 
-Priority CallerHandler::priorityOf(const ForwardRoute &route, const ServiceName &service) const
+Priority CallerHandler::priorityOf(int rank, const ServiceName &service) const
 {
-    return route.rank <= m_mostUrgentRank.at(service) ? Priority::Interactive : Priority::Patient;
+    return rank <= m_mostUrgentRank.at(service) ? Priority::Interactive : Priority::Patient;
 }
 
 std::shared_ptr<ActiveRequest> CallerHandler::handle(ServerRequest request, ResponseHandler respond)
@@ -95,7 +133,13 @@
                           : m_heldRequests.hold(std::move(request), std::move(respond));
 }
 
-std::shared_ptr<ActiveRequest> CallerHandler::forward(ServerRequest request, ResponseHandler respond)
+std::optional<Duration> CallerHandler::confirmationAge() const
+{
+    const std::optional<Instant> confirmedAt = m_environment.routesConfirmedAt ? m_environment.routesConfirmedAt() : std::nullopt;
+    return confirmedAt ? std::optional(ProcessClock::now() - *confirmedAt) : std::nullopt;
+}
+
+std::shared_ptr<ActiveRequest> CallerHandler::forward(ServerRequest request, ResponseHandler respond, bool isFinal)
 {
     if (!m_routes) {
         respondDirectly(request,
@@ -106,29 +150,114 @@
     }
     const ForwardRoute *route = m_routes->find(*findHeader(request.headers, "Host"), request.target);
     if (route == nullptr) {
-        respondDirectly(request, respond, {.status = NotFound}, "no route");
-        return nullptr;
+        return handleUnknownRoute(std::move(request), std::move(respond), isFinal);
     }
     const std::optional<DrainSchedule> &drain = m_environment.drain;
-    if (drain && !drain->allows(*route, deadlineOf(request, *route), request.arrival)) {
+    if (drain && !drain->allows(*route, deadlineOf(request, route->timeout), request.arrival)) {
         respondDirectly(request,
                         respond,
                         {.status = Unavailable, .headers = {{.name = "Retry-After", .value = RetryAfterShutdown}}},
                         "shutting down");
         return nullptr;
     }
-    const ServiceName &service = m_splitSelector.next(*route);
+    const Authentication authentication =
+        m_authenticator.authenticate({.configuration = *m_routes,
+                                      .route = *route,
+                                      .headers = request.headers,
+                                      .confirmationAge = isFinal ? confirmationAge() : std::nullopt,
+                                      .hasWaited = isFinal});
+    if (authentication.outcome == AuthenticationOutcome::Refused) {
+        refuseKey(request, respond, authentication);
+        return nullptr;
+    }
+    if (authentication.outcome == AuthenticationOutcome::NotYetKnown) {
+        const Duration wait = m_authenticator.waitFor(deadlineOf(request, route->timeout) - request.arrival);
+        const Instant until = request.arrival + wait;
+        return handleUnknownKey(authentication, std::move(request), std::move(respond), until, isFinal);
+    }
+    return forwardAs(authentication.account, *route, std::move(request), std::move(respond));
+}
+
+std::shared_ptr<ActiveRequest> CallerHandler::handleUnknownRoute(ServerRequest request, ResponseHandler respond, bool isFinal)
+{
+    const bool hasAccounts = m_routes->routes().requiresKey;
+    if (hasAccounts && !isFinal && m_pendingRequests.hasRoom(request, NoKey)) {
+        const Duration wait = m_authenticator.waitFor(deadlineOf(request, TimeoutWithoutRoute) - request.arrival);
+        const Instant until = request.arrival + wait;
+        return m_pendingRequests.hold(std::move(request), std::move(respond), NoKey, until);
+    }
+    if (hasAccounts && !m_authenticator.isCurrent(confirmationAge())) {
+        refuseOutdated(request, respond, "no route");
+    } else {
+        respondDirectly(request, respond, {.status = NotFound}, "no route");
+    }
+    return nullptr;
+}
+
+std::shared_ptr<ActiveRequest> CallerHandler::handleUnknownKey(Authentication authentication,
+                                                               ServerRequest request,
+                                                               ResponseHandler respond,
+                                                               Instant until,
+                                                               bool isFinal)
+{
+    if (!isFinal && m_pendingRequests.hasRoom(request, authentication.keyId)) {
+        return m_pendingRequests.hold(std::move(request), std::move(respond), authentication.keyId, until);
+    }
+    if (!isFinal) {
+        authentication.outcome = m_authenticator.decideWithoutWait(authentication.keyId, confirmationAge());
+    }
+    if (authentication.outcome == AuthenticationOutcome::Refused) {
+        refuseKey(request, respond, authentication);
+    } else {
+        m_accountMetrics.count({}, AccountRequest::Refused);
+        refuseOutdated(request, respond, authentication.reason);
+    }
+    return nullptr;
+}
+
+void CallerHandler::refuseKey(const ServerRequest &request, ResponseHandler &respond, const Authentication &authentication)
+{
+    m_authenticator.recordRefusal(authentication.keyId);
+    m_accountMetrics.count({}, AccountRequest::UnknownKey);
+    respondDirectly(request,
+                    respond,
+                    {.status = Unauthorized, .headers = {{.name = "WWW-Authenticate", .value = m_environment.dialect.apiKey}}},
+                    std::string(authentication.reason));
+}
+
+void CallerHandler::refuseOutdated(const ServerRequest &request, ResponseHandler &respond, std::string_view reason)
+{
+    respondDirectly(request,
+                    respond,
+                    {.status = Unavailable, .headers = {{.name = "Retry-After", .value = RetryAfterOutdated}}},
+                    std::string(reason) + ", and the configuration may be outdated");
+}
+
+std::shared_ptr<ActiveRequest>
+CallerHandler::forwardAs(const ClientAccount *account, const ForwardRoute &route, ServerRequest request, ResponseHandler respond)
+{
+    const ServiceName &service = m_splitSelector.next(route);
     const std::string *id = findHeader(request.headers, m_environment.dialect.requestId);
+    const int rank = account != nullptr ? account->rank.value_or(route.rank) : route.rank;
     RoutedRequest routed{.request = {},
                          .routes = m_routes,
-                         .route = route,
+                         .route = &route,
+                         .account = account,
                          .service = service,
-                         .priority = priorityOf(*route, service),
+                         .priority = priorityOf(rank, service),
                          .requestId = id != nullptr ? *id : std::string(),
-                         .deadline = deadlineOf(request, *route),
-                         .objective = objectiveOf(request, *route)};
+                         .deadline = deadlineOf(request, route.timeout),
+                         .objective = objectiveOf(request, route)};
     routed.request = std::move(request);
-    auto call = std::make_shared<ForwardedCall>(m_environment, std::move(routed), std::move(respond));
+    return startCall(std::move(routed), std::move(respond));
+}
+
+std::shared_ptr<ActiveRequest> CallerHandler::startCall(RoutedRequest request, ResponseHandler respond)
+{
+    if (request.account != nullptr) {
+        m_accountMetrics.count(request.account->name, AccountRequest::Admitted);
+    }
+    auto call = std::make_shared<ForwardedCall>(m_environment, std::move(request), std::move(respond));
     call->start();
     return call;
 }
--- a/src/edge/callerhandler.h
+++ b/src/edge/callerhandler.h
@@ -2,15 +2,21 @@
 
 #include "edge/forwardedcall.h"
 #include "edge/heldrequests.h"
+#include "edge/pendingrequests.h"
 #include "edge/serversession.h"
 
+#include <filbertmount/accounts/accountmetrics.h>
+#include <filbertmount/accounts/authenticator.h>
 #include <filbertmount/routes/splitselector.h>
 
 #include <memory>
 
 namespace Filbertmount {
 
-/** Handles the requests of callers: finds the route of each request and forwards it to an upstream. Runs on the IoLoop. */
+/**
+ * Handles the requests of callers: finds the route and the account of each request and forwards it to an upstream. Runs on the
+ * IoLoop.
+ */
 class CallerHandler : public RequestHandler
 {
 public:
@@ -18,6 +24,8 @@
 
     /** Sets the routes for all requests that arrive from now on. */
     void setRoutes(std::shared_ptr<const RouteIndex> routes);
+    /** Decides again on requests that wait for a newer configuration. Call after setRoutes() once the services are configured. */
+    void retryPendingRequests();
     /** Call once routes and upstreams are known. Forwards the held requests first, then all new ones. */
     void startForwarding();
     /**
@@ -32,23 +40,43 @@
     void onInvalidRequest(const std::string &client, int status, const std::string &reason) override;
 
 private:
-    std::shared_ptr<ActiveRequest> forward(ServerRequest request, ResponseHandler respond);
+    /** @param isFinal the request cannot wait any longer for a newer configuration */
+    std::shared_ptr<ActiveRequest> forward(ServerRequest request, ResponseHandler respond, bool isFinal = false);
+    /** Forwards a request that is admitted as @p account, which is null if it needs none. */
+    std::shared_ptr<ActiveRequest>
+    forwardAs(const ClientAccount *account, const ForwardRoute &route, ServerRequest request, ResponseHandler respond);
+    std::shared_ptr<ActiveRequest> startCall(RoutedRequest request, ResponseHandler respond);
+    /** Holds a request without a route if a newer configuration may have one; else responds with 404 or 503. */
+    std::shared_ptr<ActiveRequest> handleUnknownRoute(ServerRequest request, ResponseHandler respond, bool isFinal);
+    /** Holds a request whose key may be in a newer configuration, or responds to it if it cannot wait. */
+    std::shared_ptr<ActiveRequest>
+    handleUnknownKey(Authentication authentication, ServerRequest request, ResponseHandler respond, Instant until, bool isFinal);
+    /** Responds with 401. */
+    void refuseKey(const ServerRequest &request, ResponseHandler &respond, const Authentication &authentication);
+    /** Responds with 503, because the configuration may be outdated. */
+    void refuseOutdated(const ServerRequest &request, ResponseHandler &respond, std::string_view reason);
+    [[nodiscard]] std::optional<Duration> confirmationAge() const;
+    /** Computes the rank of the most urgent requests of each service. */
+    void updateMostUrgentRanks();
     /** Responds without an upstream and logs @p reason. */
     void respondDirectly(const ServerRequest &request,
                          ResponseHandler &respond,
                          ServerResponse localResponse,
                          const std::string &reason);
     /** The earlier one of the timeout of the route and the time that the caller still waits. */
-    [[nodiscard]] Instant deadlineOf(const ServerRequest &request, const ForwardRoute &route) const;
+    [[nodiscard]] Instant deadlineOf(const ServerRequest &request, Duration routeTimeout) const;
     [[nodiscard]] Instant objectiveOf(const ServerRequest &request, const ForwardRoute &route) const;
-    [[nodiscard]] Priority priorityOf(const ForwardRoute &route, const ServiceName &service) const;
+    [[nodiscard]] Priority priorityOf(int rank, const ServiceName &service) const;
 
     CallEnvironment &m_environment;
     std::shared_ptr<const RouteIndex> m_routes;
-    /** Lowest rank among the routes of each service, which is that of the most urgent ones. */
+    /** Lowest rank among the routes and accounts of each service, which is that of the most urgent requests. */
     absl::flat_hash_map<ServiceName, int> m_mostUrgentRank;
     SplitSelector m_splitSelector;
     HeldRequests m_heldRequests;
+    Authenticator m_authenticator;
+    AccountMetrics m_accountMetrics;
+    PendingRequests m_pendingRequests;
     bool m_isForwarding = false;
 };
 
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -159,6 +159,10 @@
                     .onWrongUpstream =
                         [this](const ServiceName &service, const UpstreamId &upstream) {
                             markUpstreamDown(service, upstream);
+                        },
+                    .routesConfirmedAt =
+                        [this] {
+                            return m_replicator.confirmedAt(StateKind::Routes);
                         }}
     , m_callerHandler(m_environment, randomSeed())
     , m_readinessHandler(m_dialect.readinessPath,
@@ -312,6 +316,7 @@
             "routes in force",
             {{.name = "version", .value = static_cast<std::int64_t>(routes->version().value())},
              {.name = "routes", .value = static_cast<std::int64_t>(routes->routes().routes.size())},
+             {.name = "accounts", .value = static_cast<std::int64_t>(routes->routes().accounts.size())},
              {.name = "revision",
               .value = static_cast<std::int64_t>(m_mirror.revision(StateKind::Routes).value_or(Revision()).value())}});
     m_callerHandler.setRoutes(routes);
@@ -321,6 +326,7 @@
         m_services.push_back(service.name);
     }
     configureServices();
+    m_callerHandler.retryPendingRequests();
 }
 
 double EdgeServer::instanceCount() const
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -396,6 +396,7 @@
             {{.name = "request", .value = m_request.requestId},
              {.name = "route", .value = m_request.route->name},
              {.name = "routes_version", .value = static_cast<std::int64_t>(m_request.routes->version().value())},
+             {.name = "account", .value = m_request.account != nullptr ? m_request.account->name.value() : std::string()},
              {.name = "service", .value = m_request.service.value()},
              {.name = "outcome", .value = outcome},
              {.name = "reason", .value = reason},
--- a/src/edge/statemirror.cpp
+++ b/src/edge/statemirror.cpp
@@ -236,7 +236,7 @@
 void StateMirror::applyRoutes(StateObject object, MirrorChanges &changes)
 {
     const auto &routes = std::get<RouteSet>(object.value);
-    if (m_routes && routes.version <= m_routes->version()) {
+    if (m_routes && !isNewer(routes, object.revision)) {
         return;
     }
     m_routes = std::make_shared<const RouteIndex>(routes);
@@ -245,6 +245,14 @@
     changes.routes.push_back({.object = std::move(object), .isDeleted = false});
 }
 
+bool StateMirror::isNewer(const RouteSet &received, Revision revision) const
+{
+    const bool isSame = received.version == m_routes->version();
+    const bool addsAccounts = revision == m_routesRevision && received.requiresKey && !m_routes->routes().requiresKey;
+    const bool changesAccounts = isSame && revision > m_routesRevision && accessHash(received) != m_routes->accessHash();
+    return received.version > m_routes->version() || (isSame && addsAccounts) || changesAccounts;
+}
+
 void StateMirror::applyUpstream(StateObject object, MirrorChanges &changes)
 {
     const auto known = m_upstreams.find(object.name);
@@ -478,7 +486,7 @@
 std::uint64_t StateMirror::hash(StateKind kind) const
 {
     if (kind == StateKind::Routes) {
-        return m_routes ? m_routes->version().value() : 0;
+        return m_routes ? m_routes->version().value() + m_routes->accessHash() : 0;
     }
     return m_upstreamsHash;
 }
--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -68,7 +68,7 @@
 bool StateReplicator::isLarge(StateKind kind) const
 {
     const std::shared_ptr<const RouteIndex> routes = m_mirror.routes();
-    return kind == StateKind::Routes && routes && routes->routes().routes.size() > RoutesPerPush;
+    return kind == StateKind::Routes && routes && wireSizeInRoutes(routes->routes()) > RoutesPerPush;
 }
 
 void StateReplicator::setSingleListing(std::function<void(StateKind)> start)
@@ -136,7 +136,7 @@
         return false;
     }
     const std::optional<RouteSetDelta> delta = computeDelta(m_deltaBaseRoutes->routes(), *routes);
-    if (!delta || delta->changes.routes.size() + delta->removed.size() > RoutesPerPush) {
+    if (!delta || wireSizeInRoutes(*delta) > RoutesPerPush) {
         return false;
     }
     Wire::Envelope envelope;
@@ -184,6 +184,13 @@
     }
 }
 
+std::optional<Instant> StateReplicator::confirmedAt(StateKind kind) const
+{
+    const KindState &state = m_kinds.at(kind);
+    const bool mayBeOlder = m_mirror.revision(kind).value_or(Revision()) <= state.announced.revision;
+    return mayBeOlder && state.announced.hash != m_mirror.hash(kind) ? std::nullopt : state.election.lastConfirmed();
+}
+
 bool StateReplicator::shouldRead(StateKind kind, Instant now)
 {
     return m_kinds.at(kind).election.updateRole(now);
@@ -365,9 +372,12 @@
     if (own && theirs < *own) {
         return;
     }
+    KindState &state = m_kinds.at(*kind);
+    if (theirs >= state.announced.revision) {
+        state.announced = {.revision = theirs, .hash = digest.hash()};
+    }
     if (own && digest.hash() == m_mirror.hash(*kind)) {
         m_mirror.advanceRevision(*kind, theirs);
-        KindState &state = m_kinds.at(*kind);
         state.pulls.reset();
         state.wasLastFetchListing = false;
         state.election.recordConfirmation(from, confirmedAt);
--- a/src/edge/statereplicator.h
+++ b/src/edge/statereplicator.h
@@ -40,6 +40,11 @@
      * @param before the mirror's revision before the response; empty before the first one
      */
     void onStoreResponse(StateKind kind, std::optional<Revision> before, const MirrorChanges &changes, Instant now);
+    /**
+     * Returns when the store last confirmed this instance's state of @p kind to any instance; nothing if unknown, or if another
+     * instance has announced a state that this one does not have yet.
+     */
+    [[nodiscard]] std::optional<Instant> confirmedAt(StateKind kind) const;
     /** Whether this instance should read @p kind from the store now. */
     bool shouldRead(StateKind kind, Instant now);
     /** Discards received confirmations and contact after a suspension of the process, because their age is unknown. */
@@ -48,11 +53,19 @@
     void tick(Instant now);
 
 private:
+    /** The state that another instance announced by a digest. */
+    struct Announcement {
+        Revision revision;
+        std::uint64_t hash = 0;
+    };
+
     /** State of the replication of one kind. */
     struct KindState {
         ReaderElection election;
         /** Time of the store's last response to this instance. */
         std::optional<Instant> confirmedAt;
+        /** The newest state that another instance announced. */
+        Announcement announced;
         /** When the digest is sent again, in case it was lost. */
         std::optional<Instant> repeatAt;
         /** When this instance last reported that it is a seeker. */
--- a/src/edge/statewire.cpp
+++ b/src/edge/statewire.cpp
@@ -3,6 +3,7 @@
 #include "peer/wiretime.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace Filbertmount {
 
@@ -47,6 +48,16 @@
         item.set_service(target.service.value());
         item.set_weight(static_cast<std::uint32_t>(target.weight));
     }
+    wire.set_key_exempt(route.isKeyExempt);
+    for (const Region &region : route.allowedRegions) {
+        wire.add_allowed_regions(region.value());
+    }
+}
+
+template<class Id>
+std::vector<Id> readNames(const google::protobuf::RepeatedPtrField<std::string> &wire)
+{
+    return std::vector<Id>(wire.begin(), wire.end());
 }
 
 ForwardRoute read(const Wire::SharedRoute &wire)
@@ -62,9 +73,71 @@
     for (const Wire::SharedTarget &target : wire.targets()) {
         route.targets.push_back({.service = ServiceName(target.service()), .weight = static_cast<int>(target.weight())});
     }
+    route.isKeyExempt = wire.key_exempt();
+    route.allowedRegions = readNames<Region>(wire.allowed_regions());
     return route;
 }
 
+void write(const ClientAccount &account, Wire::SharedAccount &wire)
+{
+    wire.set_name(account.name.value());
+    for (const Sha256Digest &digest : account.keyDigests) {
+        wire.add_key_digests(digest.data(), digest.size());
+    }
+    if (account.rank) {
+        wire.set_rank(static_cast<std::uint32_t>(*account.rank));
+    }
+    wire.set_rate(account.rate);
+    wire.set_burst(account.burst);
+    for (const Region &region : account.allowedRegions) {
+        wire.add_allowed_regions(region.value());
+    }
+}
+
+ClientAccount read(const Wire::SharedAccount &wire)
+{
+    ClientAccount account{.name = AccountName(wire.name()),
+                          .keyDigests = {},
+                          .rank = wire.has_rank() ? std::optional(static_cast<int>(wire.rank())) : std::nullopt,
+                          .rate = wire.rate(),
+                          .burst = wire.burst(),
+                          .allowedRegions = readNames<Region>(wire.allowed_regions())};
+    account.keyDigests.reserve(static_cast<std::size_t>(wire.key_digests_size()));
+    for (const std::string &bytes : wire.key_digests()) {
+        Sha256Digest digest{};
+        // No key has a digest of another length, so such bytes admit nobody.
+        if (bytes.size() == digest.size()) {
+            std::copy(bytes.begin(), bytes.end(), digest.begin());
+            account.keyDigests.push_back(digest);
+        }
+    }
+    return account;
+}
+
+/** Returns about how many bytes @p account takes in a message. */
+std::size_t wireBytes(const ClientAccount &account)
+{
+    constexpr std::size_t fixedBytes = 32;
+    constexpr std::size_t bytesPerDigest = 34;
+    std::size_t bytes = fixedBytes + account.name.value().size() + bytesPerDigest * account.keyDigests.size();
+    for (const Region &region : account.allowedRegions) {
+        bytes += region.value().size() + 2;
+    }
+    return bytes;
+}
+
+std::size_t inRoutes(std::size_t accountBytes)
+{
+    return (accountBytes + AccountBytesPerRoute - 1) / AccountBytesPerRoute;
+}
+
+std::size_t wireBytes(const std::vector<ClientAccount> &accounts)
+{
+    return std::accumulate(accounts.begin(), accounts.end(), std::size_t{0}, [](std::size_t sum, const ClientAccount &account) {
+        return sum + wireBytes(account);
+    });
+}
+
 void write(const RouteSet &routes, Wire::SharedRouteSet &wire)
 {
     wire.set_version(routes.version.value());
@@ -81,6 +154,10 @@
     wire.set_max_body_bytes(routes.limits.maxBodyBytes);
     wire.set_header_timeout_us(toMicroseconds(routes.limits.headerTimeout));
     wire.set_idle_timeout_us(toMicroseconds(routes.limits.idleTimeout));
+    wire.set_requires_key(routes.requiresKey);
+    for (const ClientAccount &account : routes.accounts) {
+        write(account, *wire.add_accounts());
+    }
 }
 
 RouteSet read(const Wire::SharedRouteSet &wire)
@@ -91,7 +168,11 @@
                     .limits = {.maxHeaderBytes = static_cast<std::uint32_t>(wire.max_header_bytes()),
                                .maxBodyBytes = wire.max_body_bytes(),
                                .headerTimeout = fromMicroseconds(wire.header_timeout_us()),
-                               .idleTimeout = fromMicroseconds(wire.idle_timeout_us())}};
+                               .idleTimeout = fromMicroseconds(wire.idle_timeout_us())},
+                    .requiresKey = wire.requires_key()};
+    for (const Wire::SharedAccount &account : wire.accounts()) {
+        routes.accounts.push_back(read(account));
+    }
     for (const Wire::SharedRoute &route : wire.routes()) {
         routes.routes.push_back(read(route));
     }
@@ -152,19 +233,62 @@
 
 namespace {
 
-/** Splits a route set into pieces of at most RoutesPerPush routes; the first piece also has the services. */
+/** Distributes the items of a route set to pieces of a limited size. */
+class PieceWriter
+{
+public:
+    explicit PieceWriter(const RouteSet &whole)
+        : m_whole(whole)
+    {
+        startPiece();
+        m_pieces.back().services = whole.services;
+    }
+
+    /** Returns the piece that has room for @p size routes or as many bytes of accounts. */
+    RouteSet &pieceFor(std::size_t size)
+    {
+        if (m_size > 0 && m_size + size > RoutesPerPush) {
+            startPiece();
+        }
+        m_size += size;
+        return m_pieces.back();
+    }
+
+    std::vector<RouteSet> take()
+    {
+        return std::move(m_pieces);
+    }
+
+private:
+    void startPiece()
+    {
+        m_size = 0;
+        m_pieces.push_back({.version = m_whole.version,
+                            .routes = {},
+                            .services = {},
+                            .limits = m_whole.limits,
+                            .requiresKey = m_whole.requiresKey});
+    }
+
+    const RouteSet &m_whole;
+    std::vector<RouteSet> m_pieces;
+    /** Of the last piece, in routes. */
+    std::size_t m_size = 0;
+};
+
+/** Splits a route set into pieces of at most the size of RoutesPerPush routes; the first piece also has the services. */
 std::vector<StateChange> splitIntoPieces(const StateChange &change)
 {
     const auto &routes = std::get<RouteSet>(change.object.value);
+    PieceWriter writer(routes);
+    for (const ForwardRoute &route : routes.routes) {
+        writer.pieceFor(1).routes.push_back(route);
+    }
+    for (const ClientAccount &account : routes.accounts) {
+        writer.pieceFor(inRoutes(wireBytes(account))).accounts.push_back(account);
+    }
     std::vector<StateChange> pieces;
-    for (std::size_t first = 0; first < routes.routes.size() || pieces.empty(); first += RoutesPerPush) {
-        RouteSet piece{.version = routes.version, .routes = {}, .services = {}, .limits = routes.limits};
-        if (pieces.empty()) {
-            piece.services = routes.services;
-        }
-        const std::size_t last = std::min(routes.routes.size(), first + RoutesPerPush);
-        piece.routes.assign(routes.routes.begin() + static_cast<std::ptrdiff_t>(first),
-                            routes.routes.begin() + static_cast<std::ptrdiff_t>(last));
+    for (RouteSet &piece : writer.take()) {
         pieces.push_back({.object = {.name = change.object.name, .revision = change.object.revision, .value = std::move(piece)},
                           .isDeleted = false});
     }
@@ -173,6 +297,20 @@
 
 } // namespace
 
+std::size_t wireSizeInRoutes(const RouteSet &routes)
+{
+    return routes.routes.size() + inRoutes(wireBytes(routes.accounts));
+}
+
+std::size_t wireSizeInRoutes(const RouteSetDelta &delta)
+{
+    std::size_t removedBytes = 0;
+    for (const AccountName &name : delta.removedAccounts) {
+        removedBytes += name.value().size() + 2;
+    }
+    return wireSizeInRoutes(delta.changes) + delta.removed.size() + inRoutes(removedBytes);
+}
+
 std::vector<Wire::StatePush> toPushes(StateKind kind, std::span<const StateChange> objects)
 {
     if (kind == StateKind::Routes && !objects.empty()) {
@@ -207,8 +345,9 @@
             whole.push_back(std::move(piece));
             continue;
         }
-        std::vector<ForwardRoute> &target = std::get<RouteSet>(whole.back().value).routes;
-        std::move(routes->routes.begin(), routes->routes.end(), std::back_inserter(target));
+        RouteSet &target = std::get<RouteSet>(whole.back().value);
+        std::move(routes->routes.begin(), routes->routes.end(), std::back_inserter(target.routes));
+        std::move(routes->accounts.begin(), routes->accounts.end(), std::back_inserter(target.accounts));
     }
     return whole;
 }
@@ -224,6 +363,9 @@
     for (const std::string &name : delta.removed) {
         routes.add_removed(name);
     }
+    for (const AccountName &name : delta.removedAccounts) {
+        routes.add_removed_accounts(name.value());
+    }
     return object;
 }
 
@@ -235,7 +377,8 @@
     const Wire::SharedRouteSet &wire = object.routes();
     return RouteSetDelta{.base = RouteSetVersion(wire.base_version()),
                          .changes = read(wire),
-                         .removed = {wire.removed().begin(), wire.removed().end()}};
+                         .removed = {wire.removed().begin(), wire.removed().end()},
+                         .removedAccounts = readNames<AccountName>(wire.removed_accounts())};
 }
 
 std::optional<StateChange> fromWire(const Wire::SharedObject &object, StateKind kind)
--- a/src/edge/statewire.h
+++ b/src/edge/statewire.h
@@ -24,6 +24,13 @@
 
 /** Limit on routes per message; a route takes about 100 bytes. */
 inline constexpr std::size_t RoutesPerPush = 300;
+/** Bytes of accounts that take the place of one route in a message. */
+inline constexpr std::size_t AccountBytesPerRoute = 100;
+
+/** Returns how many routes take as much space in a message as the routes and accounts of @p routes. */
+std::size_t wireSizeInRoutes(const RouteSet &routes);
+/** The same for the changed and removed routes and accounts of @p delta. */
+std::size_t wireSizeInRoutes(const RouteSetDelta &delta);
 
 /**
  * Splits @p objects into messages that fit into a datagram; without objects, returns one empty message. Of several versions of
--- a/src/edge/upstreamattempt.cpp
+++ b/src/edge/upstreamattempt.cpp
@@ -4,6 +4,8 @@
 
 #include <filbertmount/telemetry/log.h>
 
+#include <absl/strings/ascii.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -17,6 +19,15 @@
 // must not run twice therefore only use connections that were idle for a shorter time than this, or new ones.
 constexpr Duration MaxIdleTimeUnrepeatable = std::chrono::seconds(1);
 
+/** Whether @p header is @p name in any case. Many servers do not distinguish hyphens from underscores, so neither does this. */
+bool isSpellingOf(std::string_view header, std::string_view name)
+{
+    return header.size() == name.size() && std::equal(header.begin(), header.end(), name.begin(), [](char left, char right) {
+               return absl::ascii_tolower(static_cast<unsigned char>(left == '_' ? '-' : left))
+                   == absl::ascii_tolower(static_cast<unsigned char>(right));
+           });
+}
+
 } // namespace
 
 UpstreamAttempt::UpstreamAttempt(CallEnvironment &environment,
@@ -89,25 +100,46 @@
     m_environment.crashGuard.ended(m_ticket);
 }
 
+bool UpstreamAttempt::isReplaced(std::string_view header) const
+{
+    const HttpDialect &dialect = m_environment.dialect;
+    if (equalsIgnoringCase(header, dialect.timeLeft) || equalsIgnoringCase(header, dialect.expectedUpstream)) {
+        return true;
+    }
+    // A deployment without accounts passes on these headers like any other.
+    return m_request.routes->routes().requiresKey
+        && (equalsIgnoringCase(header, dialect.apiKey) || isSpellingOf(header, dialect.account));
+}
+
 std::string UpstreamAttempt::serializeRequest(Duration timeLeft) const
 {
     const HttpDialect &dialect = m_environment.dialect;
     const ServerRequest &request = m_request.request;
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    const auto append = [&text](std::string_view name, std::string_view value) {
+        text.append(name).append(": ").append(value).append("\r\n");
+    };
+    bool hasId = m_request.requestId.empty();
     for (const Header &header : endToEndHeaders(request.headers)) {
-        const bool isReplaced =
-            equalsIgnoringCase(header.name, dialect.timeLeft) || equalsIgnoringCase(header.name, dialect.expectedUpstream);
-        if (!isReplaced) {
-            text.append(header.name).append(": ").append(header.value).append("\r\n");
+        if (!isReplaced(header.name)) {
+            append(header.name, header.value);
+            hasId = hasId || equalsIgnoringCase(header.name, dialect.requestId);
         }
     }
+    if (!hasId) {
+        // The caller named it in a Connection header. Without it, the response could not be matched to the request.
+        append(dialect.requestId, m_request.requestId);
+    }
+    if (m_request.account != nullptr) {
+        append(dialect.account, m_request.account->name.value());
+    }
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
-    text.append(dialect.timeLeft).append(": ").append(std::to_string(std::max<std::int64_t>(1, milliseconds))).append("\r\n");
-    text.append(dialect.expectedUpstream).append(": ").append(m_placement.upstream.value()).append("\r\n");
+    append(dialect.timeLeft, std::to_string(std::max<std::int64_t>(1, milliseconds)));
+    append(dialect.expectedUpstream, m_placement.upstream.value());
     const bool hasBody = !request.body.empty() || findHeader(request.headers, "Content-Length") != nullptr
         || findHeader(request.headers, "Transfer-Encoding") != nullptr;
     if (hasBody) {
-        text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+        append("Content-Length", std::to_string(request.body.size()));
     }
     return text.append("\r\n").append(request.body);
 }
--- a/src/edge/upstreamattempt.h
+++ b/src/edge/upstreamattempt.h
@@ -39,6 +39,8 @@
     [[nodiscard]] AttemptEnd classify(const ExchangeResult &result) const;
     /** Parses the load header and stores its text for loadHeader(). */
     [[nodiscard]] std::optional<UpstreamLoad> readLoad(const Headers &headers);
+    /** Whether a header of the caller is dropped, because the instance sets it or keeps it to itself. */
+    [[nodiscard]] bool isReplaced(std::string_view header) const;
     [[nodiscard]] std::string serializeRequest(Duration timeLeft) const;
     /** Reports the end of the attempt to the crash guard; after a broken exchange, first checks whether the upstream crashed. */
     void reportToCrashGuard(AttemptEnd end);
--- a/src/routes/routeset.cpp
+++ b/src/routes/routeset.cpp
@@ -29,8 +29,16 @@
     return lower;
 }
 
+std::uint64_t accessHash(const RouteSet &routes)
+{
+    // An empty list of accounts that requires a key refuses everyone, unlike a route set without accounts.
+    return routes.requiresKey ? accountsHash(routes.accounts) + 1 : 0;
+}
+
 RouteIndex::RouteIndex(RouteSet routes)
     : m_routes(std::move(routes))
+    , m_accounts(m_routes.accounts)
+    , m_accessHash(Filbertmount::accessHash(m_routes))
 {
     for (std::size_t position = 0; position < m_routes.routes.size(); ++position) {
         m_byHost[m_routes.routes[position].host].push_back(position);
@@ -52,6 +60,16 @@
     return m_routes.version;
 }
 
+const ClientAccount *RouteIndex::findAccount(const Sha256Digest &digest) const
+{
+    return m_accounts.find(m_routes.accounts, digest);
+}
+
+std::uint64_t RouteIndex::accessHash() const
+{
+    return m_accessHash;
+}
+
 const ForwardRoute *RouteIndex::find(std::string_view host, std::string_view target) const
 {
     const auto positions = m_byHost.find(normalizedHost(host));
--- a/tests/edge/statemirrortest.cpp
+++ b/tests/edge/statemirrortest.cpp
@@ -49,6 +49,51 @@
     CHECK(mirror.routes()->version() == RouteSetVersion(9));
 }
 
+// Guards against a removed key that is accepted again, and against accounts that a mixed fleet loses or never agrees on.
+TEST_CASE("state mirror: accounts change only with a later version, a later revision or when they were missing")
+{
+    struct Row {
+        const char *name;
+        std::uint64_t version;
+        std::uint64_t revision;
+        bool hasAccounts;
+        std::string key;
+        bool replaces;
+    };
+    const auto object = [](std::uint64_t version, std::uint64_t revision, bool hasAccounts, const std::string &key) {
+        RouteSet set{.version = RouteSetVersion(version), .requiresKey = hasAccounts};
+        if (hasAccounts) {
+            set.accounts = {{.name = AccountName("a"), .keyDigests = {sha256(key)}}};
+        }
+        return StateObject{.name = "main", .revision = Revision(revision), .value = set};
+    };
+    for (const bool knowsAccounts : {true, false}) {
+        const Row rows[] = {
+            {"older version", 6, 30, true, "new", false},
+            {"same version and revision, other key", 7, 20, true, "new", !knowsAccounts},
+            {"same version and revision without accounts", 7, 20, false, "", false},
+            {"same version, later revision, other key", 7, 21, true, "new", true},
+            {"same version, later revision, no change", 7, 21, knowsAccounts, "old", false},
+            {"same version, earlier revision", 7, 19, true, "new", false},
+            {"later version", 8, 21, true, "new", true},
+        };
+        for (const Row &row : rows) {
+            CAPTURE(std::string(row.name));
+            CAPTURE(knowsAccounts);
+            StateMirror mirror;
+            mirror.applyListing(StateKind::Routes, {object(7, 20, knowsAccounts, "old")}, Revision(20), Start);
+            const std::uint64_t hash = mirror.hash(StateKind::Routes);
+            CHECK((hash == 7) == !knowsAccounts);
+            const StateChange change{.object = object(row.version, row.revision, row.hasAccounts, row.key)};
+            const MirrorChanges changes = mirror.applyChanges(
+                StateKind::Routes, {.changes = {change}, .storeRevision = Revision(row.revision)}, Start, StateSource::Instance);
+            CHECK(changes.routes.empty() != row.replaces);
+            CHECK((mirror.hash(StateKind::Routes) != hash) == row.replaces);
+            CHECK((mirror.routes()->findAccount(sha256("old")) != nullptr) == (knowsAccounts && !row.replaces));
+        }
+    }
+}
+
 TEST_CASE("state mirror: a malformed object is rejected with its reason and the earlier version stays")
 {
     StateMirror mirror;
--- a/tests/edge/statereplicatortest.cpp
+++ b/tests/edge/statereplicatortest.cpp
@@ -1,4 +1,5 @@
 #include "edge/statereplicator.h"
+#include "edge/statewire.h"
 
 #include "support/loopserver.h"
 
@@ -153,6 +154,89 @@
     CHECK(reads == 0);
 }
 
+namespace {
+
+/** A version whose only account has the key named after the version, and in version 1 also the key "removed". */
+RouteSet accountVersion(std::uint64_t version)
+{
+    RouteSet set = routes(version, 2);
+    set.requiresKey = true;
+    set.accounts = {{.name = AccountName("acme"), .keyDigests = {sha256(std::to_string(version))}}};
+    if (version == 1) {
+        set.accounts[0].keyDigests.push_back(sha256("removed"));
+    }
+    return set;
+}
+
+Wire::Envelope deltaMessage(std::uint64_t from, std::uint64_t to)
+{
+    const RouteSet later = accountVersion(to);
+    Wire::Envelope envelope;
+    Wire::StatePush &push = *envelope.add_bodies()->mutable_state_push();
+    push.set_kind(Wire::ROUTES);
+    push.set_base(100 + from);
+    push.set_revision(100 + to);
+    *push.add_objects() = toWire({.object = {.name = "main", .revision = Revision(100 + to), .value = later}},
+                                 computeDelta(accountVersion(from), later).value());
+    return envelope;
+}
+
+} // namespace
+
+// Guards against a removed key that a late, repeated or missing message makes valid again, also through a relay.
+TEST_CASE("state replicator: lost, repeated and reordered deltas lead to the accounts of the last version")
+{
+    using Step = std::pair<std::uint64_t, std::uint64_t>;
+    const std::vector<Step> deliveries[] = {
+        {{1, 2}, {2, 3}}, {{2, 3}, {1, 2}}, {{1, 2}, {1, 2}, {2, 3}, {1, 2}}, {{2, 3}}, {{1, 3}, {1, 2}, {2, 3}}};
+    for (const std::vector<Step> &delivery : deliveries) {
+        IoLoop loop{1};
+        Node reader{loop, "127.0.0.31", {}};
+        Node other{loop, "127.0.0.32", {std::string("127.0.0.31") + PeerPort}};
+        const auto apply = [](Node &node, std::uint64_t version) {
+            node.mirror.applyListing(StateKind::Routes,
+                                     {{.name = "main", .revision = Revision(100 + version), .value = accountVersion(version)}},
+                                     Revision(100 + version),
+                                     ProcessClock::now());
+        };
+        REQUIRE(runUntil(loop, [&] {
+            return reader.fleet.memberCount() == 2 && other.fleet.memberCount() == 2;
+        }));
+        apply(other, 1);
+        apply(reader, 3);
+        for (const auto &[from, to] : delivery) {
+            reader.fleet.send(other.self.id, deltaMessage(from, to));
+        }
+        CHECK(runUntil(loop, [&] {
+            return other.has(3);
+        }));
+        reader.fleet.send(other.self.id, deltaMessage(1, 2));
+        runUntil(loop, [end = ProcessClock::now() + 50ms] {
+            return ProcessClock::now() >= end;
+        });
+        CHECK(other.mirror.hash(StateKind::Routes) == reader.mirror.hash(StateKind::Routes));
+        CHECK(other.mirror.routes()->findAccount(sha256("3")) != nullptr);
+        CHECK(other.mirror.routes()->findAccount(sha256("removed")) == nullptr);
+        CHECK(other.mirror.routes()->findAccount(sha256("2")) == nullptr);
+    }
+}
+
+// A key must not be refused while this instance knows that a newer configuration exists.
+TEST_CASE("state replicator: a state counts as confirmed only while no newer one is announced")
+{
+    Pair pair;
+    CHECK(runUntil(pair.loop, [&] {
+        return pair.other.replicator.confirmedAt(StateKind::Routes).has_value();
+    }));
+    // The listing never completes.
+    pair.other.replicator.setSingleListing([](StateKind) {});
+    pair.reader.applyStoreResponse(routes(2, 1800), 11);
+    CHECK(runUntil(pair.loop, [&] {
+        return !pair.other.replicator.confirmedAt(StateKind::Routes).has_value();
+    }));
+    CHECK(pair.reader.replicator.confirmedAt(StateKind::Routes).has_value());
+}
+
 // A reader that sent 1,800 routes to 143 others saturated its link for seconds: two instances received them too late.
 TEST_CASE("state replicator: for many routes, only the digest is sent, and the other instance reads the store")
 {
--- a/tests/edge/statewiretest.cpp
+++ b/tests/edge/statewiretest.cpp
@@ -76,6 +76,54 @@
     }
 }
 
+// A configuration of 10,000 accounts takes 1.8 MB, and a part of it must not be taken for the whole.
+TEST_CASE("state wire: accounts are split into messages of bounded size and joined again")
+{
+    constexpr std::size_t largestMessage = 60'000;
+    for (const std::size_t count : {0U, 1U, 84U, 10'000U}) {
+        CAPTURE(count);
+        RouteSet routes{.version = RouteSetVersion(5),
+                        .routes = {{.name = "r", .targets = {{.service = ServiceName("s")}}, .isKeyExempt = true}},
+                        .requiresKey = true};
+        routes.routes[0].allowedRegions = {Region("north")};
+        for (std::size_t number = 0; number < count; ++number) {
+            const std::string name = "account-" + std::to_string(number);
+            routes.accounts.push_back({.name = AccountName(name),
+                                       .keyDigests = {sha256(name), sha256(name + "2"), sha256(name + "3"), sha256(name + "4")},
+                                       .rank = number % 2 == 0 ? std::optional(static_cast<int>(number % 3)) : std::nullopt,
+                                       .rate = 2.5,
+                                       .burst = 7,
+                                       .allowedRegions = {Region("north")}});
+        }
+        const std::vector<StateChange> whole{{.object = {.name = "main", .revision = Revision(3), .value = routes}}};
+        std::vector<StateObject> pieces;
+        for (const Wire::StatePush &push : toPushes(StateKind::Routes, whole)) {
+            CHECK(push.ByteSizeLong() <= largestMessage);
+            pieces.push_back(fromWire(push.objects(0), StateKind::Routes).value().object);
+        }
+        const std::vector<StateObject> joinedObjects = joinPieces(std::move(pieces));
+        REQUIRE(joinedObjects.size() == 1);
+        const auto &received = std::get<RouteSet>(joinedObjects[0].value);
+        CHECK(received.requiresKey);
+        CHECK(received.routes == routes.routes);
+        CHECK((received.accounts == routes.accounts));
+    }
+}
+
+TEST_CASE("state wire: a delta carries changed and removed accounts")
+{
+    RouteSet before{.version = RouteSetVersion(5), .requiresKey = true};
+    before.accounts = {{.name = AccountName("a"), .keyDigests = {sha256("1")}}, {.name = AccountName("b")}};
+    RouteSet after = before;
+    after.version = RouteSetVersion(6);
+    after.accounts = {{.name = AccountName("a"), .keyDigests = {sha256("2")}}};
+    const StateChange change{.object = {.name = "main", .revision = Revision(3), .value = after}};
+    const std::optional<RouteSetDelta> received = deltaFromWire(toWire(change, computeDelta(before, after).value()));
+    REQUIRE(received.has_value());
+    CHECK(received->removedAccounts == std::vector{AccountName("b")});
+    CHECK((applyDelta(before, *received).value().accounts == after.accounts));
+}
+
 TEST_CASE("state wire: a route set delta is decoded as it was encoded, and a complete set is not a delta")
 {
     RouteSet before{.version = RouteSetVersion(5), .routes = {{.name = "a", .targets = {{.service = ServiceName("s")}}}}};
--- a/tests/routes/routesetdeltatest.cpp
+++ b/tests/routes/routesetdeltatest.cpp
@@ -69,6 +69,50 @@
     }
 }
 
+// Guards against a removed key that stays valid, and against accounts of two versions in one set.
+TEST_CASE("route set delta: applying it returns exactly the accounts of the later version")
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        const auto accounts = [&random](std::uint64_t version) {
+            RouteSet set{.version = RouteSetVersion(version), .requiresKey = true};
+            for (int number = 0; number < 8; ++number) {
+                if (random() % 3 > 0) {
+                    set.accounts.push_back({.name = AccountName("a" + std::to_string(number)),
+                                            .keyDigests = {sha256(std::to_string(random() % 3))},
+                                            .rate = static_cast<double>(random() % 2)});
+                }
+            }
+            return set;
+        };
+        const RouteSet before = accounts(3);
+        const RouteSet after = accounts(4);
+        const RouteSet result = applyDelta(before, computeDelta(before, after).value()).value();
+        REQUIRE(accountsHash(result.accounts) == accountsHash(after.accounts));
+        REQUIRE(result.accounts.size() == after.accounts.size());
+        REQUIRE(result.requiresKey);
+    }
+}
+
+// An instance of a program version without accounts passes a route set on without them. A delta applied to it would let only the
+// changed accounts in.
+TEST_CASE("route set delta: there is none between sets of which only one requires keys, or with two accounts of one name")
+{
+    const RouteSet open = routes(3, 2);
+    RouteSet closed = routes(4, 2);
+    closed.requiresKey = true;
+    CHECK_FALSE(computeDelta(open, closed).has_value());
+    CHECK_FALSE(computeDelta(closed, open).has_value());
+    RouteSet next = closed;
+    next.version = RouteSetVersion(5);
+    RouteSet stripped = closed;
+    stripped.requiresKey = false;
+    CHECK_FALSE(applyDelta(stripped, computeDelta(closed, next).value()).has_value());
+    next.accounts = {{.name = AccountName("a")}, {.name = AccountName("a")}};
+    CHECK_FALSE(computeDelta(closed, next).has_value());
+}
+
 TEST_CASE("route set delta: there is none between sets that contain two routes with the same name")
 {
     RouteSet twice = routes(3, 2);
--- a/tests/support/callfixture.h
+++ b/tests/support/callfixture.h
@@ -26,6 +26,8 @@
     return {.requestId = "Attempt",
             .timeLeft = "Time-Left",
             .expectedUpstream = "Expected",
+            .apiKey = "Key",
+            .account = "Account",
             .responseStamp = "Stamp",
             .notRun = "Not-Run",
             .upstreamId = "Upstream",
