Stop requests to the upstreams of evacuated zones

Operators could not take the upstreams of a zone out of use without changing each of their entries. An object `evacuations/ZONE` in the store now requests this, if the settings have `[zones] evacuations = true`. The kind is read by an elected reader and replicated like upstreams; EvacuationTable keeps the report with the highest revision of each zone and remembers ended evacuations, so that late messages change nothing. The router knows evacuated upstreams but does not list them: grants, local placement, hedges, retries and queued requests use the others, running attempts finish, and afterwards the upstreams start cold. A service without any other upstream refuses at once, with a Retry-After that follows the time the evacuation has lasted. An instance that starts waits up to 3 s for the evacuations. Without the setting there is no follower, no listing and no message of the kind.

--- a/include/filbertmount/edge/sharedstate.h
+++ b/include/filbertmount/edge/sharedstate.h
@@ -20,6 +20,8 @@
     Upstreams,
     /** Addresses of the entry instances. */
     Instances,
+    /** Zones whose upstreams get no further requests. */
+    Evacuations,
 };
 
 /** Returns the name of @p kind as it appears in logs and metrics. */
@@ -49,13 +51,17 @@
     std::string peerAddress;
 };
 
+/** An operator's request that the upstreams of a zone get no further requests. The object's name is the zone. */
+struct ZoneEvacuation {
+};
+
 /** Stands for an object of the store that could not be parsed. */
 struct MalformedObject {
     /** Which field is missing or invalid, and why. */
     std::string reason;
 };
 
-using StateValue = std::variant<MalformedObject, RouteSet, UpstreamRecord, InstanceRecord>;
+using StateValue = std::variant<MalformedObject, RouteSet, UpstreamRecord, InstanceRecord, ZoneEvacuation>;
 
 /** A versioned object of the store. */
 struct StateObject {
--- a/include/filbertmount/edge/statemirror.h
+++ b/include/filbertmount/edge/statemirror.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <filbertmount/edge/evacuationtable.h>
 #include <filbertmount/edge/sharedstate.h>
 #include <filbertmount/edge/storecontact.h>
 #include <filbertmount/types/instant.h>
@@ -62,13 +63,14 @@
 struct MirrorChanges {
     std::vector<StateChange> routes;
     std::vector<StateChange> upstreams;
+    std::vector<StateChange> evacuations;
     /** Whether the list of instances changed. */
     bool haveInstancesChanged = false;
     /** Names of malformed objects, each with the reason; a revision of an object appears once. */
     std::vector<std::pair<std::string, std::string>> rejected;
     std::vector<DeletionDecision> deletions;
 
-    /** Returns the changes of @p kind, which is one that instances replicate: routes or upstreams. */
+    /** Returns the changes of @p kind, which is one that instances replicate. */
     [[nodiscard]] const std::vector<StateChange> &of(StateKind kind) const;
     /** Adds the effect of a further update. */
     void append(MirrorChanges other);
@@ -121,9 +123,11 @@
     /** Upstreams of all services, draining ones included. */
     [[nodiscard]] std::vector<UpstreamRecord> upstreams() const;
     [[nodiscard]] const std::map<std::string, StateObject> &instances() const;
+    /** Zones whose upstreams get no further requests. */
+    [[nodiscard]] const EvacuationTable &evacuations() const;
     /**
-     * All objects of @p kind, and as deletions the upstreams that are kept after a possible expiry; empty for kinds that
-     * instances do not replicate.
+     * All objects of @p kind, and as deletions the upstreams that are kept after a possible expiry and the evacuations that
+     * have ended; empty for kinds that instances do not replicate.
      */
     [[nodiscard]] std::vector<StateChange> objects(StateKind kind, Instant now) const;
     /**
@@ -198,6 +202,7 @@
     /** Revision after which m_removals has all removals; empty before the first listing. */
     std::optional<Revision> m_removalsSince;
     std::map<std::string, StateObject> m_instances;
+    EvacuationTable m_evacuations;
     /** Revisions of the malformed objects that were rejected most recently, by name. */
     std::map<std::string, Revision> m_rejected;
     std::map<StateKind, Revision> m_revisions;
--- a/include/filbertmount/routing/placement.h
+++ b/include/filbertmount/routing/placement.h
@@ -55,6 +55,8 @@
     Shed,
     /** Each usable upstream has asked this instance for a pause. */
     UpstreamsPaused,
+    /** All upstreams are in evacuated zones. Decided by the requesting instance, never sent to others. */
+    ZonesEvacuated,
 };
 
 struct PlacementRefusal {
--- a/include/filbertmount/routing/routedupstream.h
+++ b/include/filbertmount/routing/routedupstream.h
@@ -17,6 +17,8 @@
     int slots = 1;
     /** A higher incarnation under the same id is a new process: it starts cold and is neither draining nor down. */
     Incarnation incarnation;
+    /** Its zone is evacuated: it finishes its running attempts and accepts no new ones; afterwards it starts cold. */
+    bool isEvacuated = false;
 };
 
 /** Index of an upstream in the UpstreamTable of one instance; not valid in other instances. */
--- a/include/filbertmount/routing/slotclient.h
+++ b/include/filbertmount/routing/slotclient.h
@@ -113,8 +113,8 @@
     [[nodiscard]] bool isCandidate(UpstreamIndex index, const SlotRequest &request) const;
     /** Time until the first pause ends when pauses leave @p request no upstream; nothing otherwise. */
     [[nodiscard]] std::optional<Duration> timeUntilUnpaused(const SlotRequest &request, Instant now) const;
-    /** Refuses the request because all its upstreams are paused. */
-    void refusePaused(const SlotRequest &request, Duration pauseLeft, SlotDecisions &decisions);
+    /** Refuses the request because its upstreams accept nothing for @p wait, to which a random part is added. */
+    void refuse(const SlotRequest &request, RefusalReason reason, Duration wait, SlotDecisions &decisions);
     void excludePaused(SlotRequest &request, Instant now) const;
     [[nodiscard]] double load(UpstreamIndex index) const;
     /** Returns whether a request may be sent to the dispatcher now, and records @p now as the time of the last request if so. */
--- a/include/filbertmount/routing/slotdispatcher.h
+++ b/include/filbertmount/routing/slotdispatcher.h
@@ -53,6 +53,8 @@
 
     /** Frees the slots of a member that left and removes its queued requests. */
     void removeMember(MemberIndex member, Instant now, SlotOutbox &outbox);
+    /** Refuses the queued requests that no usable upstream is left for. Call after upstreams were evacuated. */
+    void refuseUnservable(SlotOutbox &outbox);
     /** Call after each change of the table that was not made by this class. */
     void upstreamsChanged(Instant now, SlotOutbox &outbox);
     /** Handles overdue attempts and queued requests. Call every few milliseconds. */
--- a/include/filbertmount/routing/upstreamtable.h
+++ b/include/filbertmount/routing/upstreamtable.h
@@ -39,7 +39,10 @@
 
     void setOptions(const UpstreamTableOptions &options);
 
-    /** Replaces the list. Upstreams of the first non-empty list start warm, later ones start cold. */
+    /**
+     * Replaces the list. Upstreams of the first non-empty list start warm, later ones start cold. Evacuated upstreams are known
+     * but not listed; when their evacuation ends, they start cold.
+     */
     void update(std::span<const RoutedUpstream> upstreams, Instant now);
 
     [[nodiscard]] std::optional<UpstreamIndex> find(std::string_view id) const;
@@ -49,6 +52,14 @@
     [[nodiscard]] UpstreamState state(UpstreamIndex index) const;
     [[nodiscard]] bool isEjected(UpstreamIndex index) const;
     [[nodiscard]] bool isListed(UpstreamIndex index) const;
+    /** Whether the last list contained evacuated upstreams. */
+    [[nodiscard]] bool hasEvacuated() const;
+    /**
+     * Time after which a refused request should be repeated while all upstreams are evacuated, or nothing if some are listed.
+     * Nobody announces the end of an evacuation. Asking callers to wait as long as it has lasted so far, within bounds, at most
+     * doubles their wait and spreads their return.
+     */
+    [[nodiscard]] std::optional<Duration> evacuationRetryAfter(Instant now) const;
     /** The upstream stated in a response that it is draining; until its next incarnation, it accepts no attempts. */
     [[nodiscard]] bool isDraining(UpstreamIndex index) const;
 
@@ -132,6 +143,9 @@
     std::vector<UpstreamIndex> m_takenChanges;
     /** A non-empty list was set before. */
     bool m_hasUpstreams = false;
+    bool m_hasEvacuated = false;
+    /** Since when all upstreams are evacuated. */
+    std::optional<Instant> m_evacuatedSince;
     int m_totalLimit = 0;
     int m_nonStragglerLimit = 0;
     std::size_t m_usableCount = 0;
--- a/include/filbertmount/telemetry/metrics.h
+++ b/include/filbertmount/telemetry/metrics.h
@@ -41,6 +41,8 @@
 inline constexpr MetricInfo DocumentRevision{"filbertmount_document_revision", "Revision of the document in force, by service"};
 inline constexpr MetricInfo Quarantined{"filbertmount_quarantined_total",
                                         "Requests refused because they crash upstreams, by service"};
+inline constexpr MetricInfo ZoneEvacuated{"filbertmount_zone_evacuated",
+                                          "1 while this instance sends no requests to the zone's upstreams, by zone"};
 inline constexpr MetricInfo Members{"filbertmount_members", "Entry instances seen alive"};
 } // namespace MetricNames
 
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -130,12 +130,14 @@
     , m_fleet(loop, {.cluster = Cluster, .self = m_self, .seeds = seedAddresses(m_settings), .seed = randomSeed()}, m_metrics)
     , m_replicator(m_mirror,
                    m_fleet,
-                   {.isSeed = isSeed(m_settings)},
+                   {.election = {.isSeed = isSeed(m_settings)}, .hasEvacuations = m_settings.zones.evacuations},
                    [this](const MirrorChanges &changes) {
                        onStateChange(changes);
                    })
     , m_router({.self = m_self.id, .zone = m_settings.zone, .send = m_fleet.sender(), .seed = randomSeed()})
     , m_connectionPool(loop)
+    , m_evacuationEffects(m_metrics)
+    , m_evacuationStart(m_settings.zones.evacuations)
     , m_crashGuard(m_self.id,
                    [this](Wire::Body body) {
                        Wire::Envelope envelope;
@@ -234,7 +236,13 @@
 
 bool EdgeServer::isReady() const
 {
-    return !m_onShutDownDone && m_mirror.routes() != nullptr && m_mirror.revision(StateKind::Upstreams).has_value();
+    return !m_onShutDownDone && hasState(ProcessClock::now());
+}
+
+bool EdgeServer::hasState(Instant now) const
+{
+    const bool hasTargets = m_mirror.routes() != nullptr && m_mirror.revision(StateKind::Upstreams).has_value();
+    return hasTargets && m_evacuationStart.mayForward(m_mirror.revision(StateKind::Evacuations).has_value(), now);
 }
 
 void EdgeServer::tick()
@@ -259,6 +267,7 @@
     }
     if (m_ticks % TicksPerMaintenance == 0) {
         m_connectionPool.closeExpired(now);
+        closeEvacuatedConnections();
         m_crashGuard.tick(now);
         if (std::optional<PeerMessage> pull = m_crashHistory.tick(m_fleet.memberIds(), now)) {
             m_fleet.send(pull->to, std::move(pull->envelope));
@@ -287,7 +296,7 @@
     if (!changes.routes.empty()) {
         applyRoutes();
     }
-    if (!changes.upstreams.empty()) {
+    if (!changes.upstreams.empty() || !changes.evacuations.empty()) {
         applyUpstreams();
     }
     startForwardingWhenReady(ProcessClock::now());
@@ -298,11 +307,19 @@
 
 void EdgeServer::startForwardingWhenReady(Instant now)
 {
-    const bool hasState = m_mirror.routes() && m_mirror.revision(StateKind::Upstreams);
+    if (m_mirror.routes() && m_mirror.revision(StateKind::Upstreams)) {
+        m_evacuationStart.recordTargets(now);
+    }
     const bool hasJoined = m_fleet.memberCount() > 1 || now - m_startedAt >= JoinTimeout;
-    if (hasState && hasJoined) {
-        m_callerHandler.startForwarding();
+    if (m_isForwarding || !hasState(now) || !hasJoined) {
+        return;
     }
+    m_isForwarding = true;
+    if (m_evacuationStart.isWithoutEvacuations(m_mirror.revision(StateKind::Evacuations).has_value())) {
+        logLine(LogLevel::Warning,
+                "forwarding without knowing which zones are evacuated: not received from the store or another instance");
+    }
+    m_callerHandler.startForwarding();
 }
 
 void EdgeServer::applyRoutes()
@@ -357,21 +374,26 @@
         byService[service];
     }
     std::int64_t ready = 0;
+    m_evacuationEffects.startUpdate(m_mirror.evacuations());
     for (const UpstreamRecord &record : m_mirror.upstreams()) {
         std::vector<RoutedUpstream> &list = byService[record.service];
         if (record.isDraining) {
             continue;
         }
-        ++ready;
+        const bool isEvacuated = m_evacuationEffects.add(record.id, record.zone);
+        ready += isEvacuated ? 0 : 1;
         list.push_back({.id = record.id,
                         .address = record.address,
                         .zone = record.zone,
                         .slots = record.slots,
-                        .incarnation = record.incarnation});
+                        .incarnation = record.incarnation,
+                        .isEvacuated = isEvacuated});
     }
     for (const auto &[service, upstreams] : byService) {
         m_router.updateUpstreams(service, upstreams);
     }
+    closeEvacuatedConnections();
+    m_evacuationEffects.finishUpdate(ProcessClock::now());
     logLine(LogLevel::Info,
             "upstreams in force",
             {{.name = "ready", .value = ready},
@@ -379,6 +401,14 @@
               .value = static_cast<std::int64_t>(m_mirror.revision(StateKind::Upstreams).value_or(Revision()).value())}});
 }
 
+void EdgeServer::closeEvacuatedConnections()
+{
+    for (const UpstreamId &upstream : m_evacuationEffects.upstreams()) {
+        m_connectionPool.closeIdle(upstream);
+        m_probeLoop.closeIdle(upstream);
+    }
+}
+
 void EdgeServer::applyInstances()
 {
     std::vector<std::string> addresses;
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/callerhandler.h"
+#include "edge/evacuationeffects.h"
 #include "edge/fleet.h"
 #include "edge/listener.h"
 #include "edge/probeloop.h"
@@ -8,6 +9,7 @@
 #include "edge/statereplicator.h"
 
 #include <filbertmount/edge/edgesettings.h>
+#include <filbertmount/edge/evacuationstart.h>
 #include <filbertmount/edge/httpdialect.h>
 #include <filbertmount/edge/statemirror.h>
 #include <filbertmount/quarantine/crashhistorysync.h>
@@ -39,13 +41,16 @@
     void setResumeHandler(std::function<void()> handler);
     /** Reports not ready, finishes requests in progress and calls @p done, at the latest when the grace period ends. */
     void shutDown(std::function<void()> done);
-    /** Routes and upstreams are known and no shutdown is in progress. */
+    /** Routes, upstreams and, if they are enabled, evacuations are known (see EvacuationStart) and no shutdown is in progress. */
     [[nodiscard]] bool isReady() const;
 
 private:
     void tick();
-    /** Starts forwarding once routes and upstreams are known and this instance has joined others, or JoinTimeout has passed. */
+    /** Starts forwarding once the state is known and this instance has joined others, or JoinTimeout has passed. */
     void startForwardingWhenReady(Instant now);
+    [[nodiscard]] bool hasState(Instant now) const;
+    /** Closes idle connections to evacuated upstreams, also those that attempts have returned since their evacuation. */
+    void closeEvacuatedConnections();
     void applyRoutes();
     void applyUpstreams();
     void applyInstances();
@@ -69,6 +74,8 @@
     StateReplicator m_replicator;
     Router m_router;
     ConnectionPool m_connectionPool;
+    EvacuationEffects m_evacuationEffects;
+    EvacuationStart m_evacuationStart;
     CrashGuard m_crashGuard;
     CrashHistorySync m_crashHistory;
     CrashCheck m_crashCheck;
@@ -90,6 +97,7 @@
     Instant m_shutdownStartedAt{};
     Instant m_startedAt;
     Instant m_lastTick;
+    bool m_isForwarding = false;
     /** Instance count by which the configured retry budgets are divided. */
     double m_configuredInstances = 0;
     std::uint64_t m_ticks = 0;
--- /dev/null
+++ b/src/edge/evacuationstart.cpp
@@ -0,0 +1,41 @@
+#include <filbertmount/edge/evacuationstart.h>
+
+namespace Filbertmount {
+
+EvacuationStart::EvacuationStart(bool isEnabled)
+    : m_isEnabled(isEnabled)
+{
+}
+
+void EvacuationStart::recordTargets(Instant now)
+{
+    m_targetsSince = m_targetsSince.value_or(now);
+}
+
+bool EvacuationStart::mayForward(bool isKnown, Instant now) const
+{
+    return !isWithoutEvacuations(isKnown) || (m_targetsSince && now - *m_targetsSince >= MaxWait);
+}
+
+bool EvacuationStart::isWithoutEvacuations(bool isKnown) const
+{
+    return m_isEnabled && !isKnown;
+}
+
+void FirstListings::start(Instant now)
+{
+    m_next = now + m_delay;
+}
+
+bool FirstListings::isDue(bool isKnown, Instant now)
+{
+    if (isKnown || !m_next || now < *m_next || m_listings >= MaxListings) {
+        return false;
+    }
+    ++m_listings;
+    m_next = now + m_delay;
+    m_delay *= 2;
+    return true;
+}
+
+} // namespace Filbertmount
--- /dev/null
+++ b/src/edge/evacuationtable.cpp
@@ -0,0 +1,88 @@
+#include <filbertmount/edge/evacuationtable.h>
+
+#include <filbertmount/types/rendezvoushash.h>
+
+#include <algorithm>
+
+namespace Filbertmount {
+
+bool EvacuationTable::start(const std::string &zone, Revision revision)
+{
+    const auto [known, isNew] = m_entries.try_emplace(zone, Entry{.revision = revision});
+    if (isNew) {
+        return true;
+    }
+    Entry &entry = known->second;
+    if (revision <= entry.revision) {
+        return false;
+    }
+    entry.revision = revision;
+    m_ends -= entry.hasEnded ? 1 : 0;
+    return std::exchange(entry.hasEnded, false);
+}
+
+bool EvacuationTable::end(const std::string &zone, Revision revision)
+{
+    const auto [known, isNew] = m_entries.try_emplace(zone, Entry{.revision = revision, .hasEnded = true});
+    Entry &entry = known->second;
+    if (!isNew && revision < entry.revision) {
+        return false;
+    }
+    entry.revision = revision;
+    const bool wasInForce = !std::exchange(entry.hasEnded, true);
+    if (isNew || wasInForce) {
+        ++m_ends;
+        boundEnds();
+    }
+    return wasInForce;
+}
+
+void EvacuationTable::boundEnds()
+{
+    if (m_ends <= MaxRememberedEnds) {
+        return;
+    }
+    const auto oldest = std::min_element(m_entries.begin(), m_entries.end(), [](const auto &left, const auto &right) {
+        return std::pair(!left.second.hasEnded, left.second.revision) < std::pair(!right.second.hasEnded, right.second.revision);
+    });
+    m_entries.erase(oldest);
+    --m_ends;
+}
+
+std::vector<std::string> EvacuationTable::zones() const
+{
+    std::vector<std::string> zones;
+    for (const auto &[zone, entry] : m_entries) {
+        if (!entry.hasEnded) {
+            zones.push_back(zone);
+        }
+    }
+    return zones;
+}
+
+bool EvacuationTable::contains(const AvailabilityZone &zone) const
+{
+    const auto known = m_entries.find(zone.value());
+    return known != m_entries.end() && !known->second.hasEnded;
+}
+
+std::vector<StateChange> EvacuationTable::objects() const
+{
+    std::vector<StateChange> objects;
+    for (const auto &[zone, entry] : m_entries) {
+        const StateValue value = entry.hasEnded ? StateValue(MalformedObject()) : StateValue(ZoneEvacuation());
+        objects.push_back({.object = {.name = zone, .revision = entry.revision, .value = value}, .isDeleted = entry.hasEnded});
+    }
+    return objects;
+}
+
+std::uint64_t EvacuationTable::hash() const
+{
+    std::uint64_t hash = 0;
+    for (const std::string &zone : zones()) {
+        hash += stableHash(zone);
+    }
+    return hash;
+}
+
+} // namespace Filbertmount
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -49,6 +49,8 @@
         return "shed";
     case RefusalReason::UpstreamsPaused:
         return "upstreams-paused";
+    case RefusalReason::ZonesEvacuated:
+        return "zones-evacuated";
     }
     return "unknown";
 }
--- /dev/null
+++ b/src/edge/mirrorchanges.cpp
@@ -0,0 +1,50 @@
+#include <filbertmount/edge/statemirror.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace Filbertmount {
+
+std::string_view deletionOutcomeName(DeletionOutcome outcome)
+{
+    switch (outcome) {
+    case DeletionOutcome::Removed:
+        return "removed";
+    case DeletionOutcome::Kept:
+        return "kept";
+    case DeletionOutcome::NotExpired:
+        return "not-expired";
+    case DeletionOutcome::NotRenewed:
+        return "not-renewed";
+    }
+    return "unknown";
+}
+
+const std::vector<StateChange> &MirrorChanges::of(StateKind kind) const
+{
+    switch (kind) {
+    case StateKind::Routes:
+        return routes;
+    case StateKind::Evacuations:
+        return evacuations;
+    case StateKind::Upstreams:
+    case StateKind::Instances:
+        break;
+    }
+    return upstreams;
+}
+
+void MirrorChanges::append(MirrorChanges other)
+{
+    const auto moveTo = [](auto &source, auto &target) {
+        std::move(source.begin(), source.end(), std::back_inserter(target));
+    };
+    moveTo(other.routes, routes);
+    moveTo(other.upstreams, upstreams);
+    moveTo(other.evacuations, evacuations);
+    moveTo(other.rejected, rejected);
+    moveTo(other.deletions, deletions);
+    haveInstancesChanged = haveInstancesChanged || other.haveInstancesChanged;
+}
+
+} // namespace Filbertmount
--- a/src/edge/probeloop.cpp
+++ b/src/edge/probeloop.cpp
@@ -61,6 +61,11 @@
     }
 }
 
+void ProbeLoop::closeIdle(const UpstreamId &upstream)
+{
+    m_pool.closeIdle(upstream);
+}
+
 void ProbeLoop::probe(const ServiceName &service, const RoutedUpstream &upstream, const std::string &path)
 {
     std::shared_ptr<ClientConnection> connection = m_pool.take(upstream.id, upstream.address, {});
--- a/src/edge/probeloop.h
+++ b/src/edge/probeloop.h
@@ -29,6 +29,8 @@
 
     /** Sets the paths to probe, which are the health paths of the services in @p routes; services without one are not probed. */
     void setRoutes(const RouteSet &routes);
+    /** Closes idle connections to @p upstream. */
+    void closeIdle(const UpstreamId &upstream);
     /** Starts the probes that are due. Call about every 20 ms. */
     void tick(Instant now);
 
--- a/src/edge/sharedstate.cpp
+++ b/src/edge/sharedstate.cpp
@@ -11,6 +11,8 @@
         return "upstreams";
     case StateKind::Instances:
         return "instances";
+    case StateKind::Evacuations:
+        return "evacuations";
     }
     return "unknown";
 }
--- a/src/edge/statefollower.h
+++ b/src/edge/statefollower.h
@@ -156,7 +156,10 @@
 
     void onError(const StoreError &error, const std::string &operation)
     {
-        m_mirror.recordStoreCall(false, ProcessClock::now());
+        // A store that refuses only this optional kind is not away; upstreams must not be kept because of it.
+        if (m_kind != StateKind::Evacuations) {
+            m_mirror.recordStoreCall(false, ProcessClock::now());
+        }
         if (!m_hasFailed || error.problem == StoreProblem::Malformed) {
             logLine(LogLevel::Warning,
                     "a call to the store failed",
--- a/src/edge/statemirror.cpp
+++ b/src/edge/statemirror.cpp
@@ -5,7 +5,6 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
-#include <iterator>
 
 namespace Filbertmount {
 
@@ -33,38 +32,6 @@
 
 } // namespace
 
-std::string_view deletionOutcomeName(DeletionOutcome outcome)
-{
-    switch (outcome) {
-    case DeletionOutcome::Removed:
-        return "removed";
-    case DeletionOutcome::Kept:
-        return "kept";
-    case DeletionOutcome::NotExpired:
-        return "not-expired";
-    case DeletionOutcome::NotRenewed:
-        return "not-renewed";
-    }
-    return "unknown";
-}
-
-const std::vector<StateChange> &MirrorChanges::of(StateKind kind) const
-{
-    return kind == StateKind::Routes ? routes : upstreams;
-}
-
-void MirrorChanges::append(MirrorChanges other)
-{
-    const auto moveTo = [](auto &source, auto &target) {
-        std::move(source.begin(), source.end(), std::back_inserter(target));
-    };
-    moveTo(other.routes, routes);
-    moveTo(other.upstreams, upstreams);
-    moveTo(other.rejected, rejected);
-    moveTo(other.deletions, deletions);
-    haveInstancesChanged = haveInstancesChanged || other.haveInstancesChanged;
-}
-
 StateMirror::StateMirror(StateMirrorOptions options)
     : m_options(options)
     , m_contact(options.contact)
@@ -109,6 +76,9 @@
             names.push_back(name);
         }
     }
+    if (kind == StateKind::Evacuations) {
+        return m_evacuations.zones();
+    }
     return names;
 }
 
@@ -217,6 +187,11 @@
         m_instances[object.name] = std::move(object);
         changes.haveInstancesChanged = true;
         break;
+    case StateKind::Evacuations:
+        if (m_evacuations.start(object.name, object.revision)) {
+            changes.evacuations.push_back({.object = std::move(object), .isDeleted = false});
+        }
+        break;
     }
 }
 
@@ -280,6 +255,11 @@
     case StateKind::Instances:
         changes.haveInstancesChanged = m_instances.erase(deletion.name) > 0 || changes.haveInstancesChanged;
         break;
+    case StateKind::Evacuations:
+        if (m_evacuations.end(deletion.name, deletion.revision)) {
+            changes.evacuations.push_back(removalOf(deletion.name, deletion.revision));
+        }
+        break;
     }
 }
 
@@ -435,8 +415,16 @@
     return m_instances;
 }
 
+const EvacuationTable &StateMirror::evacuations() const
+{
+    return m_evacuations;
+}
+
 std::vector<StateChange> StateMirror::objects(StateKind kind, Instant now) const
 {
+    if (kind == StateKind::Evacuations) {
+        return m_evacuations.objects();
+    }
     std::vector<StateChange> objects;
     if (kind == StateKind::Routes && m_routes) {
         objects.push_back(
@@ -480,7 +468,7 @@
     if (kind == StateKind::Routes) {
         return m_routes ? m_routes->version().value() : 0;
     }
-    return m_upstreamsHash;
+    return kind == StateKind::Evacuations ? m_evacuations.hash() : m_upstreamsHash;
 }
 
 std::optional<Revision> StateMirror::revision(StateKind kind) const
--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -18,18 +18,28 @@
 
 } // namespace
 
-StateReplicator::StateReplicator(StateMirror &mirror, Fleet &fleet, const ReaderElectionOptions &election, ChangeHandler onChange)
+StateReplicator::StateReplicator(StateMirror &mirror, Fleet &fleet, const StateReplicatorOptions &options, ChangeHandler onChange)
     : m_mirror(mirror)
     , m_fleet(fleet)
     , m_onChange(std::move(onChange))
 {
     const Instant now = ProcessClock::now();
-    for (const StateKind kind : {StateKind::Routes, StateKind::Upstreams}) {
-        m_kinds.emplace(kind, KindState{.election = ReaderElection(kind, fleet.self(), now, election)});
+    std::vector<StateKind> kinds{StateKind::Routes, StateKind::Upstreams};
+    if (options.hasEvacuations) {
+        kinds.push_back(StateKind::Evacuations);
+    }
+    for (const StateKind kind : kinds) {
+        m_kinds.emplace(kind, KindState{.election = ReaderElection(kind, fleet.self(), now, options.election)});
     }
     setHandlers();
 }
 
+std::optional<StateKind> StateReplicator::replicatedKind(Wire::StateKind wire) const
+{
+    const std::optional<StateKind> kind = fromWire(wire);
+    return kind && m_kinds.contains(*kind) ? kind : std::nullopt;
+}
+
 void StateReplicator::setHandlers()
 {
     using Wire::Body;
@@ -40,7 +50,7 @@
         onPull(from, body.state_pull());
     });
     m_fleet.setHandler(Body::kStateSeek, [this](const InstanceId &from, const Body &body) {
-        if (const std::optional<StateKind> kind = fromWire(body.state_seek().kind())) {
+        if (const std::optional<StateKind> kind = replicatedKind(body.state_seek().kind())) {
             m_kinds.at(*kind).election.recordSeeking(from, ProcessClock::now());
         }
     });
@@ -125,7 +135,12 @@
         push.set_revision(m_mirror.revision(kind).value_or(Revision()).value());
         Wire::Envelope envelope;
         *envelope.add_bodies()->mutable_state_push() = std::move(push);
-        sendToAllOrCoordinators(envelope);
+        if (kind == StateKind::Evacuations) {
+            // A few dozen bytes that must take effect soon; a pull by each instance would take longer and cost more.
+            m_fleet.sendToAll(envelope);
+        } else {
+            sendToAllOrCoordinators(envelope);
+        }
     }
 }
 
@@ -271,89 +286,9 @@
     }
 }
 
-void StateReplicator::pullIfDue(StateKind kind, const InstanceId &from, Revision wanted, Instant now)
-{
-    if (m_kinds.at(kind).pulls.tryPull(now)) {
-        sendPull(kind, from, wanted);
-    }
-}
-
-void StateReplicator::sendPull(StateKind kind, const InstanceId &from, Revision wanted)
-{
-    Wire::Envelope envelope;
-    Wire::StatePull &pull = *envelope.add_bodies()->mutable_state_pull();
-    pull.set_kind(*toWire(kind));
-    pull.set_revision(wanted.value());
-    const std::optional<Revision> own = m_mirror.revision(kind);
-    if (kind == StateKind::Upstreams && own && *own < wanted) {
-        pull.set_have_revision(own->value());
-    }
-    m_fleet.send(pullSource(from), std::move(envelope));
-}
-
-void StateReplicator::onPull(const InstanceId &from, const Wire::StatePull &pull)
-{
-    const std::optional<StateKind> kind = fromWire(pull.kind());
-    const std::optional<Revision> own = kind ? m_mirror.revision(*kind) : std::nullopt;
-    if (!own || *own < Revision(pull.revision())) {
-        return;
-    }
-    const bool hasState = *kind == StateKind::Upstreams && pull.have_revision() > 0;
-    if (!hasState || !sendDifference(from, Revision(pull.have_revision()))) {
-        sendFullState(*kind, from);
-    }
-}
-
-bool StateReplicator::sendDifference(const InstanceId &to, Revision base)
-{
-    const std::optional<std::vector<StateChange>> changes = m_mirror.upstreamChangesSince(base, ProcessClock::now());
-    if (!changes) {
-        return false;
-    }
-    const Revision revision = *m_mirror.revision(StateKind::Upstreams);
-    std::vector<Wire::StatePush> pushes = toPushes(StateKind::Upstreams, *changes);
-    logLine(LogLevel::Info,
-            "sending later changes to another instance",
-            {{.name = "kind", .value = std::string(stateKindName(StateKind::Upstreams))},
-             {.name = "to", .value = to.value()},
-             {.name = "base", .value = static_cast<std::int64_t>(base.value())},
-             {.name = "revision", .value = static_cast<std::int64_t>(revision.value())},
-             {.name = "changes", .value = static_cast<std::int64_t>(changes->size())}});
-    for (std::size_t part = 0; part < pushes.size(); ++part) {
-        Wire::StatePush &push = pushes[part];
-        push.set_base(base.value());
-        push.set_revision(revision.value());
-        push.set_difference_part(static_cast<std::uint32_t>(part));
-        push.set_difference_parts(static_cast<std::uint32_t>(pushes.size()));
-        Wire::Envelope envelope;
-        *envelope.add_bodies()->mutable_state_push() = std::move(push);
-        m_fleet.send(to, std::move(envelope));
-    }
-    return true;
-}
-
-void StateReplicator::sendFullState(StateKind kind, const InstanceId &to)
-{
-    std::vector<Wire::StatePush> pushes = toPushes(kind, m_mirror.objects(kind, ProcessClock::now()));
-    logLine(LogLevel::Info,
-            "sending the full state to another instance",
-            {{.name = "kind", .value = std::string(stateKindName(kind))},
-             {.name = "to", .value = to.value()},
-             {.name = "revision", .value = static_cast<std::int64_t>(m_mirror.revision(kind)->value())},
-             {.name = "parts", .value = static_cast<std::int64_t>(pushes.size())}});
-    for (std::size_t part = 0; part < pushes.size(); ++part) {
-        pushes[part].set_revision(m_mirror.revision(kind)->value());
-        pushes[part].set_part(static_cast<std::uint32_t>(part));
-        pushes[part].set_parts(static_cast<std::uint32_t>(pushes.size()));
-        Wire::Envelope envelope;
-        *envelope.add_bodies()->mutable_state_push() = std::move(pushes[part]);
-        m_fleet.send(to, std::move(envelope));
-    }
-}
-
 void StateReplicator::onDigest(const InstanceId &from, const Wire::StateDigest &digest)
 {
-    const std::optional<StateKind> kind = fromWire(digest.kind());
+    const std::optional<StateKind> kind = replicatedKind(digest.kind());
     if (!kind) {
         return;
     }
@@ -395,7 +330,7 @@
 
 void StateReplicator::onPush(const InstanceId &from, const Wire::StatePush &push)
 {
-    const std::optional<StateKind> kind = fromWire(push.kind());
+    const std::optional<StateKind> kind = replicatedKind(push.kind());
     if (!kind) {
         return;
     }
@@ -473,7 +408,7 @@
         }
         return;
     }
-    if (kind == StateKind::Upstreams) {
+    if (kind != StateKind::Routes) {
         m_onChange(m_mirror.applyFullState(kind, std::move(all), revision, now));
         return;
     }
--- a/src/edge/statereplicator.h
+++ b/src/edge/statereplicator.h
@@ -15,8 +15,15 @@
 
 namespace Filbertmount {
 
+/** What a StateReplicator replicates, and how readers are elected. */
+struct StateReplicatorOptions {
+    ReaderElectionOptions election;
+    /** Whether evacuations of zones are replicated; messages on them are ignored otherwise. */
+    bool hasEvacuations = false;
+};
+
 /**
- * Replicates routes and upstreams between instances, so that few of them read the store. Runs on the IoLoop.
+ * Replicates routes, upstreams and evacuations between instances, so that few of them read the store. Runs on the IoLoop.
  *
  * An instance that receives a response from the store pushes the changes and a digest of its state to all others. An instance
  * whose state is older than the digest pulls the later changes from the sender; one whose state differs although it is not older,
@@ -27,7 +34,7 @@
 public:
     using ChangeHandler = std::function<void(const MirrorChanges &)>;
 
-    StateReplicator(StateMirror &mirror, Fleet &fleet, const ReaderElectionOptions &election, ChangeHandler onChange);
+    StateReplicator(StateMirror &mirror, Fleet &fleet, const StateReplicatorOptions &options, ChangeHandler onChange);
 
     /**
      * Sets the function that starts a single listing of a kind (see SingleListing), for states that are too large to be sent to
@@ -64,6 +71,8 @@
     };
 
     void setHandlers();
+    /** Returns nothing for kinds that this instance does not replicate. */
+    [[nodiscard]] std::optional<StateKind> replicatedKind(Wire::StateKind wire) const;
     void sendChanges(StateKind kind, Revision base, const std::vector<StateChange> &changes, Instant now);
     /** Whether the state of @p kind is too large to be sent to all instances, so that each one reads it from the store itself. */
     [[nodiscard]] bool isLarge(StateKind kind) const;
--- /dev/null
+++ b/src/edge/statereplicatorpulls.cpp
@@ -0,0 +1,89 @@
+#include "edge/statereplicator.h"
+
+#include "edge/statewire.h"
+
+#include <filbertmount/telemetry/log.h>
+
+namespace Filbertmount {
+
+void StateReplicator::pullIfDue(StateKind kind, const InstanceId &from, Revision wanted, Instant now)
+{
+    if (m_kinds.at(kind).pulls.tryPull(now)) {
+        sendPull(kind, from, wanted);
+    }
+}
+
+void StateReplicator::sendPull(StateKind kind, const InstanceId &from, Revision wanted)
+{
+    Wire::Envelope envelope;
+    Wire::StatePull &pull = *envelope.add_bodies()->mutable_state_pull();
+    pull.set_kind(*toWire(kind));
+    pull.set_revision(wanted.value());
+    const std::optional<Revision> own = m_mirror.revision(kind);
+    if (kind == StateKind::Upstreams && own && *own < wanted) {
+        pull.set_have_revision(own->value());
+    }
+    m_fleet.send(pullSource(from), std::move(envelope));
+}
+
+void StateReplicator::onPull(const InstanceId &from, const Wire::StatePull &pull)
+{
+    const std::optional<StateKind> kind = replicatedKind(pull.kind());
+    const std::optional<Revision> own = kind ? m_mirror.revision(*kind) : std::nullopt;
+    if (!own || *own < Revision(pull.revision())) {
+        return;
+    }
+    const bool hasState = *kind == StateKind::Upstreams && pull.have_revision() > 0;
+    if (!hasState || !sendDifference(from, Revision(pull.have_revision()))) {
+        sendFullState(*kind, from);
+    }
+}
+
+bool StateReplicator::sendDifference(const InstanceId &to, Revision base)
+{
+    const std::optional<std::vector<StateChange>> changes = m_mirror.upstreamChangesSince(base, ProcessClock::now());
+    if (!changes) {
+        return false;
+    }
+    const Revision revision = *m_mirror.revision(StateKind::Upstreams);
+    std::vector<Wire::StatePush> pushes = toPushes(StateKind::Upstreams, *changes);
+    logLine(LogLevel::Info,
+            "sending later changes to another instance",
+            {{.name = "kind", .value = std::string(stateKindName(StateKind::Upstreams))},
+             {.name = "to", .value = to.value()},
+             {.name = "base", .value = static_cast<std::int64_t>(base.value())},
+             {.name = "revision", .value = static_cast<std::int64_t>(revision.value())},
+             {.name = "changes", .value = static_cast<std::int64_t>(changes->size())}});
+    for (std::size_t part = 0; part < pushes.size(); ++part) {
+        Wire::StatePush &push = pushes[part];
+        push.set_base(base.value());
+        push.set_revision(revision.value());
+        push.set_difference_part(static_cast<std::uint32_t>(part));
+        push.set_difference_parts(static_cast<std::uint32_t>(pushes.size()));
+        Wire::Envelope envelope;
+        *envelope.add_bodies()->mutable_state_push() = std::move(push);
+        m_fleet.send(to, std::move(envelope));
+    }
+    return true;
+}
+
+void StateReplicator::sendFullState(StateKind kind, const InstanceId &to)
+{
+    std::vector<Wire::StatePush> pushes = toPushes(kind, m_mirror.objects(kind, ProcessClock::now()));
+    logLine(LogLevel::Info,
+            "sending the full state to another instance",
+            {{.name = "kind", .value = std::string(stateKindName(kind))},
+             {.name = "to", .value = to.value()},
+             {.name = "revision", .value = static_cast<std::int64_t>(m_mirror.revision(kind)->value())},
+             {.name = "parts", .value = static_cast<std::int64_t>(pushes.size())}});
+    for (std::size_t part = 0; part < pushes.size(); ++part) {
+        pushes[part].set_revision(m_mirror.revision(kind)->value());
+        pushes[part].set_part(static_cast<std::uint32_t>(part));
+        pushes[part].set_parts(static_cast<std::uint32_t>(pushes.size()));
+        Wire::Envelope envelope;
+        *envelope.add_bodies()->mutable_state_push() = std::move(pushes[part]);
+        m_fleet.send(to, std::move(envelope));
+    }
+}
+
+} // namespace Filbertmount
--- a/src/edge/stateservice.h
+++ b/src/edge/stateservice.h
@@ -5,6 +5,9 @@
 #include "edge/statefollower.h"
 #include "edge/statereplicator.h"
 
+#include <filbertmount/edge/evacuationstart.h>
+
+#include <optional>
 #include <string>
 
 namespace Filbertmount {
@@ -24,6 +27,8 @@
         /** Name of this instance's entry in the store; the same after a restart, so that entries do not accumulate. */
         std::string instanceName;
         InstanceRecord instance;
+        /** Whether evacuations of zones are read. */
+        bool readsEvacuations = false;
     };
 
     StateService(IoLoop &loop,
@@ -40,10 +45,16 @@
         , m_routesListing(loop, protocol, StateKind::Routes, options.calls, mirror, metrics, onChange)
         , m_upstreamsListing(loop, protocol, StateKind::Upstreams, options.calls, mirror, metrics, onChange)
         , m_registration(loop, protocol, options.instanceName, options.instance, options.calls, mirror, metrics, onChange)
+        , m_mirror(mirror)
         , m_tickTask(loop, DecisionInterval, [this] {
             tick();
         })
     {
+        if (options.readsEvacuations) {
+            m_evacuationsFollower.emplace(
+                loop, protocol, StateKind::Evacuations, options.calls, mirror, metrics, storeResponseHandler());
+            m_evacuationsListing.emplace(loop, protocol, StateKind::Evacuations, options.calls, mirror, metrics, onChange);
+        }
     }
 
     void start()
@@ -53,15 +64,19 @@
         });
         m_routesListing.read(true);
         m_upstreamsListing.read(true);
+        m_firstListings.start(ProcessClock::now());
         m_registration.start();
     }
 
-    /** Lists routes and upstreams again after a suspension: the state may be old, and the age of confirmations is unknown. */
+    /** Lists the store's objects again after a suspension: the state may be old, and the age of confirmations is unknown. */
     void rereadStore()
     {
         m_replicator.forgetConfirmations();
         m_routesFollower.start();
         m_upstreamsFollower.start();
+        if (m_evacuationsFollower) {
+            m_evacuationsFollower->start();
+        }
     }
 
 private:
@@ -81,6 +96,17 @@
         m_replicator.tick(now);
         startOrStop(m_routesFollower, m_replicator.shouldRead(StateKind::Routes, now), StateKind::Routes);
         startOrStop(m_upstreamsFollower, m_replicator.shouldRead(StateKind::Upstreams, now), StateKind::Upstreams);
+        if (m_evacuationsFollower) {
+            startOrStop(*m_evacuationsFollower, m_replicator.shouldRead(StateKind::Evacuations, now), StateKind::Evacuations);
+            listMissingEvacuations(now);
+        }
+    }
+
+    void listMissingEvacuations(Instant now)
+    {
+        if (m_firstListings.isDue(m_mirror.revision(StateKind::Evacuations).has_value(), now)) {
+            m_evacuationsListing->read(false);
+        }
     }
 
     void startOrStop(StateFollower<Protocol> &follower, bool shouldRead, StateKind kind)
@@ -104,7 +130,12 @@
     StateFollower<Protocol> m_upstreamsFollower;
     SingleListing<Protocol> m_routesListing;
     SingleListing<Protocol> m_upstreamsListing;
+    /** Both exist only if evacuations are read. */
+    std::optional<StateFollower<Protocol>> m_evacuationsFollower;
+    std::optional<SingleListing<Protocol>> m_evacuationsListing;
+    FirstListings m_firstListings;
     InstanceRegistration<Protocol> m_registration;
+    const StateMirror &m_mirror;
     PeriodicTask m_tickTask;
 };
 
--- a/src/edge/statewire.cpp
+++ b/src/edge/statewire.cpp
@@ -112,6 +112,8 @@
         return Wire::ROUTES;
     case StateKind::Upstreams:
         return Wire::UPSTREAMS;
+    case StateKind::Evacuations:
+        return Wire::EVACUATIONS;
     case StateKind::Instances:
         return std::nullopt;
     }
@@ -125,6 +127,8 @@
         return StateKind::Routes;
     case Wire::UPSTREAMS:
         return StateKind::Upstreams;
+    case Wire::EVACUATIONS:
+        return StateKind::Evacuations;
     default:
         return std::nullopt;
     }
@@ -142,6 +146,9 @@
     if (const auto *routes = std::get_if<RouteSet>(&change.object.value)) {
         write(*routes, *object.mutable_routes());
     }
+    if (std::holds_alternative<ZoneEvacuation>(change.object.value)) {
+        object.mutable_evacuation();
+    }
     if (change.expiry) {
         Wire::PossibleExpiry &expiry = *object.mutable_expiry();
         expiry.set_keep_us(toMicroseconds(change.expiry->keepFor));
@@ -253,6 +260,10 @@
         change.object.value = read(object.upstream());
         return change;
     }
+    if (kind == StateKind::Evacuations && object.has_evacuation()) {
+        change.object.value = ZoneEvacuation();
+        return change;
+    }
     const bool hasRoutes = object.has_routes()
         && std::all_of(object.routes().routes().begin(), object.routes().routes().end(), [](const Wire::SharedRoute &route) {
                                return route.targets_size() > 0;
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -40,6 +40,9 @@
 void ServiceRouter::updateUpstreams(std::span<const RoutedUpstream> upstreams, Instant now, ServiceRouterOutput &output)
 {
     m_table.update(upstreams, now);
+    if (m_table.hasEvacuated()) {
+        m_dispatcher.refuseUnservable(m_outbox);
+    }
     m_dispatcher.upstreamsChanged(now, m_outbox);
     flush(now, output);
 }
--- a/src/routing/slotclient.cpp
+++ b/src/routing/slotclient.cpp
@@ -15,7 +15,7 @@
 constexpr int RepeatedEmptyReports = 3;
 // Bounds the size of a request. A grant of a paused upstream that the request does not exclude is returned unused.
 constexpr std::size_t MaxPausedInRequest = 8;
-// Longest part of a pause by which a refused caller is asked to come back after the pause has ended.
+// Longest part of a pause or evacuation by which a refused caller is asked to come back later than at its expected end.
 constexpr double MaxSpreadOfPause = 0.25;
 
 bool contains(const absl::InlinedVector<UpstreamIndex, 2> &indices, UpstreamIndex index)
@@ -85,8 +85,12 @@
 
 void SlotClient::request(SlotRequest request, Instant now, SlotOutbox &outbox, SlotDecisions &decisions)
 {
+    if (const std::optional<Duration> retryAfter = m_table.evacuationRetryAfter(now)) {
+        refuse(request, RefusalReason::ZonesEvacuated, *retryAfter, decisions);
+        return;
+    }
     if (const std::optional<Duration> pauseLeft = timeUntilUnpaused(request, now)) {
-        refusePaused(request, *pauseLeft, decisions);
+        refuse(request, RefusalReason::UpstreamsPaused, *pauseLeft, decisions);
         return;
     }
     excludePaused(request, now);
@@ -107,8 +111,10 @@
     // A hedged attempt must not take a slot that may be in use, which is unknown without a grant.
     const std::optional<UpstreamIndex> upstream = request.isImmediate ? std::nullopt : betterOfTwoRandom(request, now);
     if (!upstream) {
-        if (const std::optional<Duration> pauseLeft = timeUntilUnpaused(request, now)) {
-            refusePaused(request, *pauseLeft, decisions);
+        if (const std::optional<Duration> retryAfter = m_table.evacuationRetryAfter(now)) {
+            refuse(request, RefusalReason::ZonesEvacuated, *retryAfter, decisions);
+        } else if (const std::optional<Duration> pauseLeft = timeUntilUnpaused(request, now)) {
+            refuse(request, RefusalReason::UpstreamsPaused, *pauseLeft, decisions);
         } else {
             decisions.refusals.push_back({.request = request.request, .retryAfter = m_table.meanServiceTime()});
         }
@@ -324,13 +330,12 @@
     return paused == candidates ? std::optional(*firstEnd - now) : std::nullopt;
 }
 
-void SlotClient::refusePaused(const SlotRequest &request, Duration pauseLeft, SlotDecisions &decisions)
+void SlotClient::refuse(const SlotRequest &request, RefusalReason reason, Duration wait, SlotDecisions &decisions)
 {
     // Callers that were refused during one pause return spread over its end instead of all at once.
     std::uniform_real_distribution<double> spread(0, MaxSpreadOfPause);
-    const auto extra = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pauseLeft) * spread(m_random));
-    decisions.refusals.push_back(
-        {.request = request.request, .reason = RefusalReason::UpstreamsPaused, .retryAfter = pauseLeft + extra});
+    const auto extra = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait) * spread(m_random));
+    decisions.refusals.push_back({.request = request.request, .reason = reason, .retryAfter = wait + extra});
 }
 
 void SlotClient::excludePaused(SlotRequest &request, Instant now) const
--- a/src/routing/slotdispatcher.cpp
+++ b/src/routing/slotdispatcher.cpp
@@ -310,6 +310,19 @@
     serveQueue(now, outbox);
 }
 
+void SlotDispatcher::refuseUnservable(SlotOutbox &outbox)
+{
+    for (auto position = m_queue.front(); position != SlotQueue::None;) {
+        const SlotQueue::Position following = m_queue.next(position);
+        const SlotQueue::Entry &entry = m_queue[position];
+        if (!hasUpstreamFor(entry.request)) {
+            refuse(entry.member, entry.request.request, RefusalReason::NoUpstream, outbox);
+            m_queue.remove(position);
+        }
+        position = following;
+    }
+}
+
 void SlotDispatcher::upstreamsChanged(Instant now, SlotOutbox &outbox)
 {
     serveQueue(now, outbox);
--- a/src/routing/upstreamtable.cpp
+++ b/src/routing/upstreamtable.cpp
@@ -33,6 +33,11 @@
 // Cold starts, ejections and decaying averages are updated at this interval, which bounds the work of a tick.
 constexpr Duration StateUpdateInterval = std::chrono::milliseconds(100);
 
+// Before the first second, the elapsed time says nothing about the length of an evacuation. The end takes up to 5 s to be known
+// everywhere, so that callers who wait longer would miss it by more than that.
+constexpr Duration MinEvacuationRetryAfter = std::chrono::seconds(1);
+constexpr Duration MaxEvacuationRetryAfter = std::chrono::seconds(5);
+
 // Below a millisecond, scheduling noise would make one upstream appear several times as slow as another.
 constexpr double MinComparedSeconds = 1e-3;
 
@@ -69,6 +74,10 @@
     }
     Entry &entry = m_entries[found->second];
     const bool isReplaced = !isNew && entry.upstream.incarnation < upstream.incarnation;
+    if (upstream.isEvacuated) {
+        entry.upstream = upstream;
+        return found->second;
+    }
     if (isNew || isReplaced || !entry.isListed) {
         // A draining upstream stays so when its entry only lapsed. Without an incarnation, a restart cannot be recognized.
         const bool isSameProcess = upstream.incarnation != Incarnation() && upstream.incarnation == entry.upstream.incarnation;
@@ -89,8 +98,17 @@
 void UpstreamTable::update(std::span<const RoutedUpstream> upstreams, Instant now)
 {
     std::vector<bool> listed(m_entries.size() + upstreams.size(), false);
+    m_hasEvacuated = false;
+    bool hasListed = false;
     for (const RoutedUpstream &upstream : upstreams) {
-        listed[addOrUpdate(upstream, now)] = true;
+        listed[addOrUpdate(upstream, now)] = !upstream.isEvacuated;
+        m_hasEvacuated = m_hasEvacuated || upstream.isEvacuated;
+        hasListed = hasListed || !upstream.isEvacuated;
+    }
+    if (hasListed || !m_hasEvacuated) {
+        m_evacuatedSince.reset();
+    } else {
+        m_evacuatedSince = m_evacuatedSince.value_or(now);
     }
     for (UpstreamIndex index = 0; index < m_entries.size(); ++index) {
         m_entries[index].isListed = listed[index];
@@ -133,6 +151,19 @@
     return m_entries[index].isListed;
 }
 
+bool UpstreamTable::hasEvacuated() const
+{
+    return m_hasEvacuated;
+}
+
+std::optional<Duration> UpstreamTable::evacuationRetryAfter(Instant now) const
+{
+    if (!m_evacuatedSince) {
+        return std::nullopt;
+    }
+    return std::clamp(now - *m_evacuatedSince, MinEvacuationRetryAfter, MaxEvacuationRetryAfter);
+}
+
 bool UpstreamTable::isDraining(UpstreamIndex index) const
 {
     const Entry &entry = m_entries[index];
--- a/tests/edge/statereplicatortest.cpp
+++ b/tests/edge/statereplicatortest.cpp
@@ -33,11 +33,11 @@
 class Node
 {
 public:
-    Node(IoLoop &loop, const std::string &ip, std::vector<std::string> seeds)
+    Node(IoLoop &loop, const std::string &ip, std::vector<std::string> seeds, bool hasEvacuations = true)
         : self{.id = InstanceId(ip), .peerAddress = ip + PeerPort, .adminAddress = {}, .zone = {}, .region = {}, .capacity = 100}
         , fleet(loop, {.cluster = "test", .self = self, .seeds = std::move(seeds)}, metrics)
         , router({.self = self.id, .zone = AvailabilityZone("z"), .send = fleet.sender()})
-        , replicator(mirror, fleet, {}, [](const MirrorChanges &) {})
+        , replicator(mirror, fleet, {.hasEvacuations = hasEvacuations}, [](const MirrorChanges &) {})
         , m_tickTask(loop, TickInterval, [this] {
             fleet.tick(ProcessClock::now());
             replicator.tick(ProcessClock::now());
@@ -374,3 +374,37 @@
         CHECK(node->mirror.upstreams().size() == 1);
     }
 }
+
+// An instance without the setting, or of an earlier version, exchanges the other kinds with those that have it.
+TEST_CASE("state replicator: evacuations reach the other instances, and one that does not use them ignores all messages on them")
+{
+    for (const bool isUsed : {true, false}) {
+        CAPTURE(isUsed);
+        IoLoop loop{1};
+        Node reader(loop, "127.0.0.31", {});
+        Node other(loop, "127.0.0.32", {std::string("127.0.0.31") + PeerPort}, isUsed);
+        REQUIRE(runUntil(loop, [&] {
+            return reader.fleet.memberCount() == 2 && other.fleet.memberCount() == 2;
+        }));
+        const auto respond = [&reader](std::vector<StateObject> listed, std::uint64_t revision) {
+            const std::optional<Revision> before = reader.mirror.revision(StateKind::Evacuations);
+            const MirrorChanges changes =
+                reader.mirror.applyListing(StateKind::Evacuations, std::move(listed), Revision(revision), ProcessClock::now());
+            reader.replicator.onStoreResponse(StateKind::Evacuations, before, changes, ProcessClock::now());
+        };
+        const StateObject zone{.name = "zone-1", .revision = Revision(9), .value = ZoneEvacuation()};
+        // The first listing is announced by a digest and pulled; the later ones are pushed.
+        respond({zone}, 10);
+        CHECK(runUntil(loop,
+                       [&] {
+                           return other.mirror.evacuations().contains(AvailabilityZone("zone-1"));
+                       })
+              == isUsed);
+        respond({}, 11);
+        reader.applyStoreResponse(routes(1, 4), 12);
+        CHECK(runUntil(loop, [&] {
+            return other.has(1) && other.mirror.evacuations().zones().empty();
+        }));
+        CHECK(other.mirror.revision(StateKind::Evacuations).has_value() == isUsed);
+    }
+}
--- a/tests/platform/storeprotocoltest.cpp
+++ b/tests/platform/storeprotocoltest.cpp
@@ -252,3 +252,19 @@
         }
     }
 }
+
+// An operator who evacuates a zone in an emergency may write anything as the content.
+TEST_CASE("store protocol: an evacuation is named by its object, whatever its content")
+{
+    for (const std::string spec : {R"({})", R"(null)", R"({"reason":"fire"})", R"([1e999])", R"("zone-2")"}) {
+        CAPTURE(spec);
+        const StatePage read =
+            page(StateKind::Evacuations, R"({"metadata":{"name":"zone-1","revision":9},"spec":)" + spec + R"(,"status":null})");
+        REQUIRE(read.objects.size() == 1);
+        CHECK(read.objects[0].name == "zone-1");
+        CHECK(std::holds_alternative<ZoneEvacuation>(read.objects[0].value));
+    }
+    CHECK(Protocol.listRequest(StateKind::Evacuations, "", false).target == "/api/objects/evacuations");
+    CHECK(Protocol.watchRequest(StateKind::Evacuations, Revision(5), 700ms).target
+          == "/api/objects/evacuations?watch=5&wait_ms=700");
+}
