--- a/scripts/lib/soak/checks.py
+++ b/scripts/lib/soak/checks.py
@@ -1,5 +1,7 @@
 """Checks the records of callers and upstreams for violated guarantees. No check depends on the speed of the machine."""
+import math
 from collections import defaultdict
+from dataclasses import dataclass
 
 from .callers import NOT_EXECUTED_STATUSES
 
@@ -8,7 +10,36 @@
 SWITCH_SERVICES = tuple(f"switch-{number}" for number in range(40))
 
 
-def find_violations(calls, executions):
+# Time from the store's acknowledgement of an evacuation until it must hold, and its extension while single instances do not
+# reach the store.
+EVACUATION_S = 5
+UNSTABLE_STORE_S = 5
+
+
+@dataclass
+class Evacuation:
+    """One evacuation of a zone: when the store acknowledged it, when its deletion began, and the ids of the zone's upstreams."""
+
+    zone: str
+    upstreams: frozenset
+    started_at: float
+    ended_at: float = math.inf
+
+
+@dataclass
+class Disturbance:
+    """
+    A fault while which evacuations need not hold, or after which they need some time to hold again. The subject is "store" for
+    an outage, "store reach" when one instance does not reach it, the index of a suspended instance, or the id of an upstream
+    whose connections are disturbed, so that requests arrive late.
+    """
+
+    subject: object
+    started_at: float
+    ended_at: float = math.inf
+
+
+def find_violations(calls, executions, evacuations=(), disturbances=()):
     """Returns a line for each violation."""
     calls_by_id = {call.request_id: call for call in calls}
     executions_by_id = defaultdict(list)
@@ -21,6 +52,7 @@
         *_wrong_responses(calls, executions_by_id),
         *_misrouted_executions(executions),
         *_older_route_sets(calls),
+        *_evacuated_executions(calls_by_id, executions, evacuations, disturbances),
     ]
 
 
@@ -81,3 +113,29 @@
 
 def _service_index(call):
     return SWITCH_SERVICES.index(call.response_body.decode("latin-1").partition("|")[2])
+
+
+def _evacuated_executions(calls_by_id, executions, evacuations, disturbances):
+    for evacuation in evacuations:
+        for execution in executions:
+            is_there = execution.upstream in evacuation.upstreams
+            if not is_there or not evacuation.started_at + EVACUATION_S < execution.started_at < evacuation.ended_at:
+                continue
+            call = calls_by_id.get(execution.request_id)
+            if not _is_excused(evacuation, execution, call, disturbances):
+                elapsed = execution.started_at - evacuation.started_at
+                yield f"evacuated: {execution} ran {elapsed:.1f} s after the evacuation of {evacuation.zone}, sent by {call}"
+
+
+def _is_excused(evacuation, execution, call, disturbances):
+    subjects = {"store", execution.upstream, call.instance if call else None}
+    for disturbance in disturbances:
+        if disturbance.started_at > execution.started_at:
+            continue
+        if disturbance.subject in subjects and execution.started_at < disturbance.ended_at + EVACUATION_S:
+            return True
+        extended = evacuation.started_at + EVACUATION_S + UNSTABLE_STORE_S
+        was_unstable = disturbance.subject == "store reach" and disturbance.ended_at > evacuation.started_at
+        if was_unstable and execution.started_at < extended:
+            return True
+    return False
--- a/scripts/lib/soak/checkstest.py
+++ b/scripts/lib/soak/checkstest.py
@@ -2,7 +2,7 @@
 import unittest
 
 from .callers import Call
-from .checks import find_violations
+from .checks import Disturbance, Evacuation, find_violations
 from .upstream import Execution
 
 
@@ -66,7 +66,34 @@
 ]
 
 
+# Name, time of the execution, upstream, disturbances, and whether the execution violates the evacuation from 0 to 20 s.
+EVACUATION_CASES = [
+    ("before it must hold", 4, "u-1", [], False),
+    ("while it must hold", 6, "u-1", [], True),
+    ("after its end", 21, "u-1", [], False),
+    ("in another zone", 6, "u-2", [], False),
+    ("in an outage of the store", 6, "u-1", [Disturbance("store", 5, 7)], False),
+    ("soon after an outage of the store", 11, "u-1", [Disturbance("store", 5, 7)], False),
+    ("long after an outage of the store", 13, "u-1", [Disturbance("store", 5, 7)], True),
+    ("before an outage of the store", 6, "u-1", [Disturbance("store", 8, 9)], True),
+    ("after the suspension of the sending instance", 6, "u-1", [Disturbance(0, 2, 5)], False),
+    ("after the suspension of another instance", 6, "u-1", [Disturbance(1, 2, 5)], True),
+    ("over a disturbed connection", 6, "u-1", [Disturbance("u-1", 2, 5)], False),
+    ("while some instances do not reach the store", 9, "u-1", [Disturbance("store reach", 1, 3)], False),
+    ("long after some instances did not reach the store", 11, "u-1", [Disturbance("store reach", 1, 3)], True),
+]
+
+
 class ChecksTest(unittest.TestCase):
+    def test_evacuations(self):
+        evacuations = [Evacuation("zone-1", frozenset({"u-1"}), 0, 20)]
+        for name, time, upstream, disturbances, is_violation in EVACUATION_CASES:
+            with self.subTest(name):
+                there = execution()
+                there.started_at, there.upstream = time, upstream
+                violations = find_violations([call()], [there], evacuations, disturbances)
+                self.assertEqual([line.partition(":")[0] for line in violations], ["evacuated"] * is_violation)
+
     def test_cases(self):
         for name, calls, executions, expected_prefix in CASES:
             with self.subTest(name):
--- a/scripts/lib/soak/fleet.py
+++ b/scripts/lib/soak/fleet.py
@@ -34,6 +34,9 @@
 extra = 58
 window_s = 10
 
+[zones]
+evacuations = true
+
 [limits]
 descriptors = 4000
 processors = 0.2
--- a/scripts/lib/soak/upstream.py
+++ b/scripts/lib/soak/upstream.py
@@ -19,6 +19,7 @@
     path: str
     body: bytes
     started_at: float
+    upstream: str = ""
 
 
 class Upstream:
@@ -83,7 +84,9 @@
         async with self._slots:
             self._queued -= 1
             self._running += 1
-            self.executions.append(Execution(request_id, self.service, method, path, message.body, time.monotonic()))
+            self.executions.append(
+                Execution(request_id, self.service, method, path, message.body, time.monotonic(), self.identity)
+            )
             try:
                 await asyncio.sleep(self.service_time_s * self._random.uniform(0.5, 2))
             finally:
