Read a configuration with accounts again before its first use

Cause: the first listing after a start may be some seconds old. In a trial with three instances that restarted together after a key had been removed, each accepted the key once before the digests or a later listing arrived. Change: such a listing is not used if it contains accounts and the instance has no configuration yet; a current one is requested at once. This costs one more store call for each start, only with accounts.

--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -55,7 +55,7 @@
     m_routes = std::move(routes);
     m_splitSelector.retain(m_routes->routes());
     m_environment.routeTimes.retain(m_routes->routes());
-    updateMostUrgentRanks();
+    m_ranks = RequestRanks(m_routes->routes());
     m_authenticator.forgetRefusals();
 }
 
@@ -64,31 +64,6 @@
     m_pendingRequests.retryAll();
 }
 
-void CallerHandler::updateMostUrgentRanks()
-{
-    const RouteSet &routes = m_routes->routes();
-    // Rank of the most urgent account that has one, and whether requests of other accounts have the rank of their route.
-    std::optional<int> accountRank;
-    bool isRouteRankUsed = routes.accounts.empty();
-    for (const ClientAccount &account : routes.accounts) {
-        isRouteRankUsed = isRouteRankUsed || !account.rank;
-        if (account.rank) {
-            accountRank = std::min(accountRank.value_or(*account.rank), *account.rank);
-        }
-    }
-    m_mostUrgentRank.clear();
-    for (const ForwardRoute &route : routes.routes) {
-        int rank = route.rank;
-        if (accountRank && !route.isKeyExempt) {
-            rank = isRouteRankUsed ? std::min(rank, *accountRank) : *accountRank;
-        }
-        for (const ForwardTarget &target : route.targets) {
-            const auto [mostUrgent, isNew] = m_mostUrgentRank.try_emplace(target.service, rank);
-            mostUrgent->second = std::min(mostUrgent->second, rank);
-        }
-    }
-}
-
 void CallerHandler::startDraining(const DrainSchedule &schedule)
 {
     m_environment.drain = schedule;
@@ -122,11 +97,6 @@
     return request.arrival + route.latencyObjective - used;
 }
 
-Priority CallerHandler::priorityOf(int rank, const ServiceName &service) const
-{
-    return rank <= m_mostUrgentRank.at(service) ? Priority::Interactive : Priority::Patient;
-}
-
 std::shared_ptr<ActiveRequest> CallerHandler::handle(ServerRequest request, ResponseHandler respond)
 {
     return m_isForwarding ? forward(std::move(request), std::move(respond))
@@ -238,13 +208,12 @@
 {
     const ServiceName &service = m_splitSelector.next(route);
     const std::string *id = findHeader(request.headers, m_environment.dialect.requestId);
-    const int rank = account != nullptr ? account->rank.value_or(route.rank) : route.rank;
     RoutedRequest routed{.request = {},
                          .routes = m_routes,
                          .route = &route,
                          .account = account,
                          .service = service,
-                         .priority = priorityOf(rank, service),
+                         .priority = m_ranks.priorityOf(route, account, service),
                          .requestId = id != nullptr ? *id : std::string(),
                          .deadline = deadlineOf(request, route.timeout),
                          .objective = objectiveOf(request, route)};
--- a/src/edge/callerhandler.h
+++ b/src/edge/callerhandler.h
@@ -3,6 +3,7 @@
 #include "edge/forwardedcall.h"
 #include "edge/heldrequests.h"
 #include "edge/pendingrequests.h"
+#include "edge/requestranks.h"
 #include "edge/serversession.h"
 
 #include <filbertmount/accounts/accountmetrics.h>
@@ -56,8 +57,6 @@
     /** Responds with 503, because the configuration may be outdated. */
     void refuseOutdated(const ServerRequest &request, ResponseHandler &respond, std::string_view reason);
     [[nodiscard]] std::optional<Duration> confirmationAge() const;
-    /** Computes the rank of the most urgent requests of each service. */
-    void updateMostUrgentRanks();
     /** Responds without an upstream and logs @p reason. */
     void respondDirectly(const ServerRequest &request,
                          ResponseHandler &respond,
@@ -66,12 +65,10 @@
     /** The earlier one of the timeout of the route and the time that the caller still waits. */
     [[nodiscard]] Instant deadlineOf(const ServerRequest &request, Duration routeTimeout) const;
     [[nodiscard]] Instant objectiveOf(const ServerRequest &request, const ForwardRoute &route) const;
-    [[nodiscard]] Priority priorityOf(int rank, const ServiceName &service) const;
 
     CallEnvironment &m_environment;
     std::shared_ptr<const RouteIndex> m_routes;
-    /** Lowest rank among the routes and accounts of each service, which is that of the most urgent requests. */
-    absl::flat_hash_map<ServiceName, int> m_mostUrgentRank;
+    RequestRanks m_ranks;
     SplitSelector m_splitSelector;
     HeldRequests m_heldRequests;
     Authenticator m_authenticator;
--- a/src/edge/singlelisting.h
+++ b/src/edge/singlelisting.h
@@ -5,6 +5,7 @@
 #include <filbertmount/edge/statemirror.h>
 #include <filbertmount/telemetry/log.h>
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <utility>
@@ -16,8 +17,8 @@
  *
  * At process start, the listing lets an instance serve before it has found the others. It may then be seconds old: all
  * instances of a fleet list when they start together, and a call that accepts an old response costs a tenth of one that requests
- * the current state. The digests of the readers reveal what is outdated. If the call fails, the state comes from the other
- * instances.
+ * the current state. The digests of the readers reveal what is outdated. Only a route set with accounts is read again at once,
+ * so that no key is accepted that was removed meanwhile. If the call fails, the state comes from the other instances.
  */
 template<StoreProtocol Protocol>
 class SingleListing
@@ -43,13 +44,27 @@
     void read(bool mayBeStale)
     {
         m_calls.cancel();
-        m_listing.read(mayBeStale, [this](StoreResult<StatePage> result) {
-            onListed(std::move(result));
-        });
+        startListing(mayBeStale);
     }
 
 private:
-    void onListed(StoreResult<StatePage> result)
+    void startListing(bool mayBeStale)
+    {
+        m_listing.read(mayBeStale, [this, mayBeStale](StoreResult<StatePage> result) {
+            onListed(std::move(result), mayBeStale);
+        });
+    }
+
+    /** Whether @p listed contains accounts and nothing newer is known. */
+    [[nodiscard]] bool wouldAdmitAccounts(const StatePage &listed) const
+    {
+        return !m_mirror.routes() && std::any_of(listed.objects.begin(), listed.objects.end(), [](const StateObject &object) {
+            const auto *routes = std::get_if<RouteSet>(&object.value);
+            return routes != nullptr && routes->requiresKey;
+        });
+    }
+
+    void onListed(StoreResult<StatePage> result, bool mayBeStale)
     {
         if (const auto *error = std::get_if<StoreError>(&result)) {
             logLine(LogLevel::Info,
@@ -60,6 +75,11 @@
             return;
         }
         auto &listed = std::get<StatePage>(result);
+        if (mayBeStale && wouldAdmitAccounts(listed)) {
+            // A key that a configuration of some seconds ago contains may have been removed since.
+            startListing(false);
+            return;
+        }
         m_onChange(m_mirror.applyListing(
             m_kind, std::move(listed.objects), listed.storeRevision, ProcessClock::now(), StateSource::Instance));
     }
