Limit the requests to cold upstreams

An upstream that was restarted under traffic sustains only a few requests a second and crashes well above that, but the dispatcher granted its slots at once and local placements ignored its state.

A new class without I/O, WarmupLimiter, decides in each instance which upstreams are cold, from their entries, from new incarnations, from refused or broken connections and from the header X-Filbertmount-Warmup-Ms. The dispatcher grants a cold upstream from a token bucket that starts empty and is filled more slowly after it was assigned or suspended. Local placements use cold upstreams only if no others are usable, by a random share that cannot be saved. While all upstreams are cold, the expected wait follows the warm-up rate. Without the section [warmup] or a service's warmup_per_s, no upstream is ever cold.

--- a/include/filbertmount/edge/httpdialect.h
+++ b/include/filbertmount/edge/httpdialect.h
@@ -30,6 +30,8 @@
     std::string upstreamLoad;
     /** Header that a draining upstream adds to each of its responses. */
     std::string draining;
+    /** Header with the time in milliseconds for which an upstream stays cold, in its health responses. */
+    std::string warmupLeft;
     /** Path at which the platform's load balancer checks whether an instance is ready. */
     std::string readinessPath;
     /** Parses the value of the upstreamLoad header; returns nothing for a malformed value. */
--- a/include/filbertmount/routes/routeset.h
+++ b/include/filbertmount/routes/routeset.h
@@ -51,6 +51,10 @@
     std::string healthPath;
     /** Limit on connections of all callers together to one upstream; 0 if the service states none. */
     int maxConnections = 0;
+    /** Time after its start for which an upstream is cold. */
+    Duration warmup{0};
+    /** Requests per second that a cold upstream sustains; 0 for no limit. */
+    double warmupRate = 0;
 };
 
 /** Limits on the size and timing of a caller's requests. */
--- a/include/filbertmount/routing/placement.h
+++ b/include/filbertmount/routing/placement.h
@@ -55,6 +55,8 @@
     Shed,
     /** Each usable upstream has asked this instance for a pause. */
     UpstreamsPaused,
+    /** Each usable upstream is cold and has got as many requests as this instance may send to it without a grant. */
+    UpstreamsCold,
 };
 
 struct PlacementRefusal {
@@ -109,6 +111,10 @@
     std::optional<Incarnation> draining;
     /** Time for which the upstream asked this instance to send it nothing. */
     std::optional<Duration> pause;
+    /** Time for which the upstream stated that it stays cold; zero if it stated that it is warm. */
+    std::optional<Duration> warmup;
+    /** The response is one to a health check, in which a cold upstream always states that it is. */
+    bool isHealthReport = false;
 };
 
 /** Result and timing of one attempt. */
--- a/include/filbertmount/routing/routedupstream.h
+++ b/include/filbertmount/routing/routedupstream.h
@@ -15,6 +15,8 @@
     std::string address;
     AvailabilityZone zone;
     int slots = 1;
+    /** Time for which the upstream's entry states that it stays cold. */
+    Duration warmupLeft{0};
     /** A higher incarnation under the same id is a new process: it starts cold and is neither draining nor down. */
     Incarnation incarnation;
 };
--- a/include/filbertmount/routing/router.h
+++ b/include/filbertmount/routing/router.h
@@ -38,6 +38,8 @@
     std::function<Instant()> clock;
     AdmissionOptions admission;
     std::uint64_t seed = 1;
+    /** Called after an upstream turned cold or warm, on any thread, with no lock of the router held; may be empty. */
+    std::function<void(const ServiceName &, const UpstreamId &, const WarmupChange &)> onWarmupChange;
 };
 
 /** Routing settings of a service document. */
@@ -49,6 +51,8 @@
     LimitSettings limits;
     /** See SlotDispatcherOptions. */
     double ownZoneAdvantage = SlotDispatcherOptions().ownZoneAdvantage;
+    /** The seed is replaced by one that differs between instances. */
+    WarmupOptions warmup;
 };
 
 /** Returns the routing settings of @p document. */
--- a/include/filbertmount/routing/routerstatus.h
+++ b/include/filbertmount/routing/routerstatus.h
@@ -14,6 +14,7 @@
     RoutedUpstream upstream;
     UpstreamState state = UpstreamState::Live;
     bool isEjected = false;
+    bool isCold = false;
     /** Concurrency limit over the attempts of all instances. */
     int limit = 0;
     /** Attempts of this instance in flight. */
--- a/include/filbertmount/routing/servicerouter.h
+++ b/include/filbertmount/routing/servicerouter.h
@@ -82,6 +82,9 @@
     /** Handles timeouts, reports and queued requests. Call every few milliseconds. */
     void tick(Instant now, ServiceRouterOutput &output);
 
+    /** Returns the upstreams that turned cold or warm since the last call. */
+    std::vector<WarmupChange> takeWarmupChanges();
+
     [[nodiscard]] const UpstreamTable &table() const;
     [[nodiscard]] const SlotClient &client() const;
     [[nodiscard]] const SlotDispatcher &dispatcher() const;
--- a/include/filbertmount/routing/slotclient.h
+++ b/include/filbertmount/routing/slotclient.h
@@ -109,6 +109,12 @@
     /** Power of two choices: returns the less loaded of two randomly drawn upstreams. */
     std::optional<UpstreamIndex> betterOfTwoRandom(const SlotRequest &request, Instant now);
     std::optional<UpstreamIndex> randomUsableUpstream(const SlotRequest &request, Instant now);
+    /**
+     * Returns a cold upstream that may get this attempt, if there is one.
+     *
+     * @param candidates increased by the number of cold upstreams that could run the request at another time
+     */
+    std::optional<UpstreamIndex> coldUpstream(const SlotRequest &request, Instant now, std::size_t &candidates);
     /** Whether the upstream accepts attempts and no earlier attempt of @p request used it. */
     [[nodiscard]] bool isCandidate(UpstreamIndex index, const SlotRequest &request) const;
     /** Time until the first pause ends when pauses leave @p request no upstream; nothing otherwise. */
--- a/include/filbertmount/routing/slotdispatcher.h
+++ b/include/filbertmount/routing/slotdispatcher.h
@@ -98,7 +98,11 @@
     [[nodiscard]] bool hasBecomeLate(const SlotQueue::Entry &entry, Instant now) const;
     /** More requests wait than can be served within their objectives. */
     [[nodiscard]] bool isOverloaded() const;
+    /** All usable upstreams are cold, so that their warm-up rate limits the grants. */
+    [[nodiscard]] bool isRationed() const;
     [[nodiscard]] Duration expectedWait(std::size_t ahead) const;
+    /** Expected wait at the rate at which cold upstreams are granted, at most until all of them are warm. */
+    [[nodiscard]] Duration expectedWaitWhileCold(std::size_t ahead, Duration waitWhenWarm) const;
     [[nodiscard]] double maxSlowness() const;
     [[nodiscard]] bool mayOvercommit() const;
     /** Enough slots are free to grant one to a hedged attempt. */
--- a/include/filbertmount/routing/upstreamtable.h
+++ b/include/filbertmount/routing/upstreamtable.h
@@ -2,6 +2,7 @@
 
 #include <filbertmount/routing/placement.h>
 #include <filbertmount/routing/routedupstream.h>
+#include <filbertmount/routing/warmuplimiter.h>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -21,6 +22,18 @@
     /** Duration of the first ejection; doubles with each consecutive one up to maxEjectionTime. */
     Duration baseEjectionTime = std::chrono::milliseconds(250);
     Duration maxEjectionTime = std::chrono::seconds(10);
+    WarmupOptions warmup;
+};
+
+/** Capacity of the usable upstreams of a service that are cold. */
+struct ColdCapacity {
+    std::size_t upstreams = 0;
+    /** Sum of their limits. */
+    int limit = 0;
+    /** Requests that may be granted to them now, with the fractions that have accumulated. */
+    double tokens = 0;
+    /** Time until all of them are warm, as of the last tick. */
+    Duration timeLeft{0};
 };
 
 /**
@@ -38,6 +51,8 @@
     explicit UpstreamTable(UpstreamTableOptions options = {});
 
     void setOptions(const UpstreamTableOptions &options);
+    /** Sets whether this instance is the dispatcher; see WarmupLimiter::setRole. */
+    void setRole(bool isDispatcher, std::size_t liveInstances, Instant now);
 
     /** Replaces the list. Upstreams of the first non-empty list start warm, later ones start cold. */
     void update(std::span<const RoutedUpstream> upstreams, Instant now);
@@ -57,6 +72,14 @@
 
     void setState(UpstreamIndex index, UpstreamState state, Instant now);
 
+    /** Records what an upstream stated on its warm-up outside of an attempt. */
+    void recordWarmup(UpstreamIndex index, const UpstreamSignals &signals, Instant now);
+    /** Counts a grant of the upstream. */
+    void recordGrant(UpstreamIndex index);
+    [[nodiscard]] const WarmupLimiter &warmup() const;
+    [[nodiscard]] WarmupLimiter &warmup();
+    [[nodiscard]] const ColdCapacity &coldCapacity() const;
+
     /** Records the result of one attempt. */
     void record(UpstreamIndex index, const AttemptReport &report, Instant now);
     /** Records that an attempt has run for @p elapsed without ending. */
@@ -83,7 +106,7 @@
     /** Smoothed mean service time over all upstreams; zero before the first success. */
     [[nodiscard]] Duration meanServiceTime() const;
 
-    /** Returns the upstreams whose limit or slowness changed since the last call, and clears them. */
+    /** Returns the upstreams whose limit, slowness or warm-up changed since the last call, and clears them. */
     std::span<const UpstreamIndex> takeChanged();
 
 private:
@@ -114,7 +137,9 @@
     };
 
     UpstreamIndex addOrUpdate(const RoutedUpstream &upstream, Instant now);
-    void recordSuccess(Entry &entry, Duration serviceTime, Instant now);
+    void recordSuccess(UpstreamIndex index, Duration serviceTime, Instant now);
+    /** Expected service time of an upstream that is cold relative to a warm one; 1 for a warm one. */
+    [[nodiscard]] double coldFactor(UpstreamIndex index) const;
     void recordFailure(UpstreamIndex index, Instant now, int weight);
     void recordSlowness(Entry &entry, double sample, Instant now);
     void eject(UpstreamIndex index, Instant now);
@@ -124,6 +149,9 @@
     [[nodiscard]] static double failureShareOf(const Entry &entry, Instant now);
     [[nodiscard]] double paceOf(const Entry &entry, Instant now) const;
     void refresh(UpstreamIndex index, Instant now);
+    void markChanged(UpstreamIndex index);
+    /** Applies changes of the warm-up limiter to slowness and changed upstreams. */
+    void applyWarmup(Instant now);
 
     UpstreamTableOptions m_options;
     std::vector<Entry> m_entries;
@@ -143,6 +171,8 @@
     double m_meanPace = 1;
     std::uint64_t m_samples = 0;
     Instant m_lastTick{};
+    WarmupLimiter m_warmup;
+    ColdCapacity m_coldCapacity;
 };
 
 } // namespace Filbertmount
--- a/include/filbertmount/telemetry/metrics.h
+++ b/include/filbertmount/telemetry/metrics.h
@@ -41,6 +41,8 @@
 inline constexpr MetricInfo DocumentRevision{"filbertmount_document_revision", "Revision of the document in force, by service"};
 inline constexpr MetricInfo Quarantined{"filbertmount_quarantined_total",
                                         "Requests refused because they crash upstreams, by service"};
+inline constexpr MetricInfo WarmupChanges{"filbertmount_warmup_changes_total",
+                                          "Upstreams that turned cold or warm, by service, state and reason"};
 inline constexpr MetricInfo Members{"filbertmount_members", "Entry instances seen alive"};
 } // namespace MetricNames
 
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -134,7 +134,14 @@
                    [this](const MirrorChanges &changes) {
                        onStateChange(changes);
                    })
-    , m_router({.self = m_self.id, .zone = m_settings.zone, .send = m_fleet.sender(), .seed = randomSeed()})
+    , m_router({.self = m_self.id,
+                .zone = m_settings.zone,
+                .send = m_fleet.sender(),
+                .seed = randomSeed(),
+                .onWarmupChange =
+                    [this](const ServiceName &service, const UpstreamId &upstream, const WarmupChange &change) {
+                        onWarmupChange(service, upstream, change);
+                    }})
     , m_connectionPool(loop)
     , m_crashGuard(m_self.id,
                    [this](Wire::Body body) {
@@ -223,6 +230,7 @@
 {
     m_settings.retries = changed.retries;
     m_settings.ownZoneAdvantage = changed.ownZoneAdvantage;
+    m_settings.warmup = changed.warmup;
     m_settings.shutdownGrace = changed.shutdownGrace;
     configureServices();
 }
@@ -316,10 +324,7 @@
               .value = static_cast<std::int64_t>(m_mirror.revision(StateKind::Routes).value_or(Revision()).value())}});
     m_callerHandler.setRoutes(routes);
     m_probeLoop.setRoutes(routes->routes());
-    m_services.clear();
-    for (const ServiceAccess &service : routes->routes().services) {
-        m_services.push_back(service.name);
-    }
+    m_services = routes->routes().services;
     configureServices();
 }
 
@@ -345,16 +350,47 @@
     const RetrySettings retries{.budgetPercent = m_settings.retries.share * UsedPartOfShare * PercentPerShare,
                                 .maxBurst = retryBurst(),
                                 .tokensPerSecond = retriesPerSecond()};
-    for (const ServiceName &service : m_services) {
-        m_router.configure(service, {.retries = retries, .ownZoneAdvantage = m_settings.ownZoneAdvantage});
+    for (const ServiceAccess &service : m_services) {
+        m_router.configure(
+            service.name,
+            {.retries = retries, .ownZoneAdvantage = m_settings.ownZoneAdvantage, .warmup = warmupOptions(service)});
+    }
+}
+
+WarmupOptions EdgeServer::warmupOptions(const ServiceAccess &service) const
+{
+    if (!m_settings.warmup) {
+        return {};
     }
+    return {.duration = service.warmup,
+            .rate = service.warmupRate,
+            .overshoot = m_settings.warmup->overshoot,
+            .slack = m_settings.warmup->slack,
+            .instances = m_configuredInstances};
+}
+
+void EdgeServer::onWarmupChange(const ServiceName &service, const UpstreamId &upstream, const WarmupChange &change)
+{
+    const std::string state = change.isCold ? "cold" : "warm";
+    const std::string reason(warmupReasonName(change.reason));
+    m_metrics.counter(MetricNames::WarmupChanges, {{"service", service.value()}, {"state", state}, {"reason", reason}})
+        .Increment();
+    if (!change.isUnexpected()) {
+        return;
+    }
+    logLine(LogLevel::Info,
+            "an upstream turned " + state,
+            {{.name = "service", .value = service.value()},
+             {.name = "upstream", .value = upstream.value()},
+             {.name = "reason", .value = reason},
+             {.name = "left_ms", .value = toMilliseconds(change.left)}});
 }
 
 void EdgeServer::applyUpstreams()
 {
     absl::flat_hash_map<ServiceName, std::vector<RoutedUpstream>> byService;
-    for (const ServiceName &service : m_services) {
-        byService[service];
+    for (const ServiceAccess &service : m_services) {
+        byService[service.name];
     }
     std::int64_t ready = 0;
     for (const UpstreamRecord &record : m_mirror.upstreams()) {
@@ -367,6 +403,7 @@
                         .address = record.address,
                         .zone = record.zone,
                         .slots = record.slots,
+                        .warmupLeft = record.warmupLeft,
                         .incarnation = record.incarnation});
     }
     for (const auto &[service, upstreams] : byService) {
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -50,6 +50,8 @@
     void applyUpstreams();
     void applyInstances();
     void configureServices();
+    [[nodiscard]] WarmupOptions warmupOptions(const ServiceAccess &service) const;
+    void onWarmupChange(const ServiceName &service, const UpstreamId &upstream, const WarmupChange &change);
     /** Called when another upstream responded at the address of @p upstream. */
     void markUpstreamDown(const ServiceName &service, const UpstreamId &upstream);
     /** Ends the shutdown when all requests are answered and all connections closed, or when the grace period ends. */
@@ -83,7 +85,7 @@
     Listener m_readinessListener;
     Listener m_metricsListener;
     PeriodicTask m_tickTask;
-    std::vector<ServiceName> m_services;
+    std::vector<ServiceAccess> m_services;
     std::function<void()> m_onResume;
     /** Set once a shutdown has started. */
     std::function<void()> m_onShutDownDone;
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -47,6 +47,8 @@
         return "deadline-too-short";
     case RefusalReason::Shed:
         return "shed";
+    case RefusalReason::UpstreamsCold:
+        return "upstreams-cold";
     case RefusalReason::UpstreamsPaused:
         return "upstreams-paused";
     }
--- a/src/edge/probeloop.cpp
+++ b/src/edge/probeloop.cpp
@@ -25,10 +25,14 @@
 void ProbeLoop::setRoutes(const RouteSet &routes)
 {
     m_healthPaths.clear();
+    m_warmingServices.clear();
     for (const ServiceAccess &service : routes.services) {
         if (!service.healthPath.empty()) {
             m_healthPaths[service.name] = service.healthPath;
         }
+        if (service.warmupRate > 0) {
+            m_warmingServices.insert(service.name);
+        }
     }
 }
 
@@ -95,7 +99,9 @@
     if (identity != nullptr && *identity != upstream.id.value()) {
         return;
     }
-    m_router.recordSignals(service, upstream.id, readSignals(result.response, m_dialect, upstream.incarnation));
+    UpstreamSignals signals = readSignals(result.response, m_dialect, upstream.incarnation);
+    signals.isHealthReport = m_warmingServices.contains(service);
+    m_router.recordSignals(service, upstream.id, signals);
     const std::string *loadHeader = findHeader(result.response.headers, m_dialect.upstreamLoad);
     const std::optional<UpstreamLoad> load = loadHeader != nullptr ? m_dialect.parseLoad(*loadHeader) : std::nullopt;
     if (load && load->pace) {
--- a/src/edge/probeloop.h
+++ b/src/edge/probeloop.h
@@ -44,6 +44,8 @@
     ProbeLoopOptions m_options;
     ConnectionPool m_pool;
     absl::flat_hash_map<ServiceName, std::string> m_healthPaths;
+    /** Services that state a warm-up rate. */
+    absl::flat_hash_set<ServiceName> m_warmingServices;
     absl::flat_hash_set<UpstreamId> m_activeProbes;
     double m_tokens = 0;
     Instant m_lastRefill{};
--- a/src/edge/statewire.cpp
+++ b/src/edge/statewire.cpp
@@ -76,6 +76,8 @@
         item.set_name(service.name.value());
         item.set_health_path(service.healthPath);
         item.set_max_connections(static_cast<std::uint32_t>(service.maxConnections));
+        item.set_warmup_us(toMicroseconds(service.warmup));
+        item.set_warmup_rate(service.warmupRate);
     }
     wire.set_max_header_bytes(routes.limits.maxHeaderBytes);
     wire.set_max_body_bytes(routes.limits.maxBodyBytes);
@@ -98,7 +100,9 @@
     for (const Wire::SharedService &service : wire.services()) {
         routes.services.push_back({.name = ServiceName(service.name()),
                                    .healthPath = service.health_path(),
-                                   .maxConnections = static_cast<int>(service.max_connections())});
+                                   .maxConnections = static_cast<int>(service.max_connections()),
+                                   .warmup = fromMicroseconds(service.warmup_us()),
+                                   .warmupRate = service.warmup_rate()});
     }
     return routes;
 }
--- a/src/edge/upstreamsignals.cpp
+++ b/src/edge/upstreamsignals.cpp
@@ -12,6 +12,7 @@
 constexpr int Unavailable = 503;
 // A longer pause would keep an upstream out of use that stated a wrong time.
 constexpr double MaxPauseSeconds = 600;
+constexpr double MaxWarmupMilliseconds = 600e3;
 
 /** Parses a Retry-After header in seconds, with fractions. Dates and times that are not above zero request no pause. */
 std::optional<Duration> parsePause(const std::string &value)
@@ -23,6 +24,17 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(seconds, MaxPauseSeconds)));
 }
 
+/** Parses a time in milliseconds, with fractions; nothing if it is malformed or negative. */
+std::optional<Duration> parseMilliseconds(const std::string &value)
+{
+    double milliseconds = 0;
+    if (!absl::SimpleAtod(value, &milliseconds) || !std::isfinite(milliseconds) || milliseconds < 0) {
+        return std::nullopt;
+    }
+    const std::chrono::duration<double, std::milli> stated(std::min(milliseconds, MaxWarmupMilliseconds));
+    return std::chrono::duration_cast<Duration>(stated);
+}
+
 } // namespace
 
 UpstreamSignals readSignals(const ClientResponse &response, const HttpDialect &dialect, Incarnation incarnation)
@@ -37,6 +49,10 @@
     if (response.status == Unavailable && retryAfter != nullptr) {
         signals.pause = parsePause(*retryAfter);
     }
+    const std::string *warmupLeft = findHeader(response.headers, dialect.warmupLeft);
+    if (warmupLeft != nullptr && !dialect.warmupLeft.empty()) {
+        signals.warmup = parseMilliseconds(*warmupLeft);
+    }
     return signals;
 }
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -74,8 +74,10 @@
         service.retryBudget.setMaxBurst(routing.retries.maxBurst);
         service.retryBudget.setTokensPerSecond(routing.retries.tokensPerSecond);
         service.hedgeBudget.setPercent(routing.hedging.budgetPercent);
+        WarmupOptions warmup = routing.warmup;
+        warmup.seed = m_options.seed ^ std::hash<std::string>()(name.value());
         service.router.setOptions(
-            {.coldStart = routing.coldStart},
+            {.coldStart = routing.coldStart, .warmup = warmup},
             {.queue = static_cast<std::size_t>(std::max(0, routing.limits.queue)), .ownZoneAdvantage = routing.ownZoneAdvantage});
         assignDispatcher(service, now(), effects);
     }
@@ -364,6 +366,9 @@
         deferResult(refusal.request, PlacementRefusal{.reason = refusal.reason, .retryAfter = refusal.retryAfter});
     }
     service.output.clear();
+    for (const WarmupChange &change : service.router.takeWarmupChanges()) {
+        effects.warmupChanges.push_back({service.name, table.upstream(change.upstream).id, change});
+    }
 }
 
 void Router::runEffects(DeferredEffects &effects)
@@ -373,6 +378,11 @@
             m_options.send(to, std::move(envelope));
         }
     }
+    if (m_options.onWarmupChange) {
+        for (const DeferredEffects::UpstreamWarmup &item : effects.warmupChanges) {
+            m_options.onWarmupChange(item.service, item.upstream, item.change);
+        }
+    }
     for (DeferredEffects::HandlerCall &call : effects.handlerCalls) {
         call.handler(std::move(call.result));
     }
--- a/src/routing/routerreports.cpp
+++ b/src/routing/routerreports.cpp
@@ -37,7 +37,7 @@
 
 void Router::recordSignals(const ServiceName &name, const UpstreamId &upstream, const UpstreamSignals &signals)
 {
-    if (!signals.draining && !signals.pause) {
+    if (!signals.draining && !signals.pause && !signals.warmup && !signals.isHealthReport) {
         return;
     }
     updateUpstream(name, upstream, [&](Service &service, UpstreamIndex index) {
@@ -50,12 +50,12 @@
     std::vector<std::pair<ServiceName, RoutedUpstream>> result;
     const Instant time = now();
     const absl::ReaderMutexLock lock(&m_mutex);
-    if (m_members.live().size() < 2) {
-        return result;
-    }
+    const bool isAlone = m_members.live().size() < 2;
     for (const auto &[name, service] : m_services) {
         const absl::MutexLock serviceLock(&service->mutex);
-        if (service->router.client().dispatcher() != SelfMember) {
+        // Without other instances the pace is not needed, but a cold upstream states only in health responses that it is.
+        const bool needsProbes = !isAlone || service->router.table().warmup().isEnabled();
+        if (!needsProbes || service->router.client().dispatcher() != SelfMember) {
             continue;
         }
         for (const UpstreamIndex index : service->router.upstreamsToPoll(polling, time)) {
--- a/src/routing/routerservice.h
+++ b/src/routing/routerservice.h
@@ -45,7 +45,14 @@
         PlacementResult result;
     };
 
+    struct UpstreamWarmup {
+        ServiceName service;
+        UpstreamId upstream;
+        WarmupChange change;
+    };
+
     std::vector<HandlerCall> handlerCalls;
+    std::vector<UpstreamWarmup> warmupChanges;
     std::vector<std::pair<InstanceId, Wire::Envelope>> messages;
 
     /** Appends @p body to the envelope for @p to, so that each member gets one envelope. */
--- a/src/routing/routerstatus.cpp
+++ b/src/routing/routerstatus.cpp
@@ -15,6 +15,7 @@
         result.push_back({.upstream = table.upstream(index),
                           .state = table.state(index),
                           .isEjected = table.isEjected(index),
+                          .isCold = table.warmup().isCold(index),
                           .limit = table.limit(index),
                           .inFlight = router.client().inFlight(index),
                           .dispatchedInFlight = router.dispatcher().inFlight(index),
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -60,6 +60,7 @@
         m_dispatcher.start(members, now);
     }
     m_dispatcherLastUsed = now;
+    m_table.setRole(dispatcher == SelfMember, members.size(), now);
     m_client.setDispatcher(dispatcher, now, m_outbox, output.decisions);
     flush(now, output);
 }
@@ -163,6 +164,9 @@
     if (signals.pause) {
         m_client.recordPause(index, *signals.pause, now);
     }
+    if (signals.warmup || signals.isHealthReport) {
+        m_table.recordWarmup(index, signals, now);
+    }
     m_dispatcher.upstreamsChanged(now, m_outbox);
     flush(now, output);
 }
@@ -221,6 +225,11 @@
     m_outbox.clear();
 }
 
+std::vector<WarmupChange> ServiceRouter::takeWarmupChanges()
+{
+    return m_table.warmup().takeChanges();
+}
+
 const UpstreamTable &ServiceRouter::table() const
 {
     return m_table;
--- a/src/routing/slotclient.cpp
+++ b/src/routing/slotclient.cpp
@@ -105,7 +105,17 @@
 void SlotClient::placeLocally(const SlotRequest &request, Instant now, SlotDecisions &decisions)
 {
     // A hedged attempt must not take a slot that may be in use, which is unknown without a grant.
-    const std::optional<UpstreamIndex> upstream = request.isImmediate ? std::nullopt : betterOfTwoRandom(request, now);
+    std::optional<UpstreamIndex> upstream = request.isImmediate ? std::nullopt : betterOfTwoRandom(request, now);
+    std::size_t cold = 0;
+    if (!upstream && !request.isImmediate) {
+        upstream = coldUpstream(request, now, cold);
+    }
+    if (!upstream && cold > 0) {
+        decisions.refusals.push_back({.request = request.request,
+                                      .reason = RefusalReason::UpstreamsCold,
+                                      .retryAfter = std::min(m_table.coldCapacity().timeLeft, m_table.warmup().localWait(cold))});
+        return;
+    }
     if (!upstream) {
         if (const std::optional<Duration> pauseLeft = timeUntilUnpaused(request, now)) {
             refusePaused(request, *pauseLeft, decisions);
@@ -137,7 +147,7 @@
     }
     std::uniform_int_distribution<UpstreamIndex> any(0, static_cast<UpstreamIndex>(m_table.size() - 1));
     const auto isUsable = [&](UpstreamIndex index) {
-        return isCandidate(index, request) && !isPaused(index, now);
+        return isCandidate(index, request) && !isPaused(index, now) && !m_table.warmup().isCold(index);
     };
     for (int draw = 0; draw < DrawsBeforeScan; ++draw) {
         const UpstreamIndex index = any(m_random);
@@ -155,6 +165,26 @@
     return std::nullopt;
 }
 
+std::optional<UpstreamIndex> SlotClient::coldUpstream(const SlotRequest &request, Instant now, std::size_t &candidates)
+{
+    const std::span<const UpstreamIndex> cold = m_table.warmup().cold();
+    if (cold.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t start = std::uniform_int_distribution<std::size_t>(0, cold.size() - 1)(m_random);
+    for (std::size_t step = 0; step < cold.size(); ++step) {
+        const UpstreamIndex index = cold[(start + step) % cold.size()];
+        if (!isCandidate(index, request) || isPaused(index, now)) {
+            continue;
+        }
+        ++candidates;
+        if (m_table.warmup().takeLocal(index, now)) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
 double SlotClient::load(UpstreamIndex index) const
 {
     return (m_inFlight[index] + 1) * m_table.slowness(index) / m_table.limit(index);
--- a/src/routing/slotdispatcher.cpp
+++ b/src/routing/slotdispatcher.cpp
@@ -30,6 +30,8 @@
 constexpr double MinFreeShareForHedges = 0.4;
 // Maximum number of overcommitted attempts per slot.
 constexpr double MaxOvercommitPerSlot = 0.5;
+// Bounds the expected wait while nothing may be granted.
+constexpr double MinGrantsPerSecond = 1e-3;
 
 } // namespace
 
@@ -194,7 +196,13 @@
 
 bool SlotDispatcher::isOverloaded() const
 {
-    return static_cast<double>(m_queue.size()) >= NewestFirstQueuePerSlot * std::max(1, m_table.totalLimit());
+    // While warm-up rates limit the grants, the wait is known in advance and requests that would be late are refused at once.
+    return !isRationed() && static_cast<double>(m_queue.size()) >= NewestFirstQueuePerSlot * std::max(1, m_table.totalLimit());
+}
+
+bool SlotDispatcher::isRationed() const
+{
+    return m_table.coldCapacity().upstreams > 0 && m_table.coldCapacity().upstreams == m_table.usableCount();
 }
 
 bool SlotDispatcher::shedForPriority(Priority priority, SlotOutbox &outbox)
@@ -211,7 +219,23 @@
 Duration SlotDispatcher::expectedWait(std::size_t ahead) const
 {
     const auto slots = static_cast<std::int64_t>(std::max(1, m_table.totalLimit()));
-    return m_table.meanServiceTime() * static_cast<std::int64_t>(ahead + 1) / slots;
+    const Duration wait = m_table.meanServiceTime() * static_cast<std::int64_t>(ahead + 1) / slots;
+    return m_table.coldCapacity().upstreams > 0 ? std::max(wait, expectedWaitWhileCold(ahead, wait)) : wait;
+}
+
+Duration SlotDispatcher::expectedWaitWhileCold(std::size_t ahead, Duration waitWhenWarm) const
+{
+    const ColdCapacity &cold = m_table.coldCapacity();
+    const double mean = std::chrono::duration<double>(m_table.meanServiceTime()).count();
+    const int warmLimit = m_table.totalLimit() - cold.limit;
+    if (warmLimit > 0 && mean <= 0) {
+        return waitWhenWarm;
+    }
+    const double granted = static_cast<double>(cold.upstreams) * m_table.warmup().grantRate();
+    const double perSecond = (mean > 0 ? warmLimit / mean : 0) + (mean > 0 ? std::min(granted, cold.limit / mean) : granted);
+    const Duration longest = cold.timeLeft + waitWhenWarm;
+    const double seconds = std::max(0.0, static_cast<double>(ahead + 1) - cold.tokens) / std::max(perSecond, MinGrantsPerSecond);
+    return std::min(longest, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)));
 }
 
 void SlotDispatcher::announceWait(SlotQueue::Entry &entry, std::size_t ahead, Instant now, SlotOutbox &outbox) const
@@ -235,6 +259,7 @@
 {
     const std::uint64_t number = ++m_lastGrant;
     m_grants[number] = {.member = member, .upstream = upstream, .start = now};
+    m_table.recordGrant(upstream);
     addInFlight(upstream, 1);
     scheduleOverdueCheck(number, now);
     outbox.push_back({.peer = member, .message = SlotGrant{.request = request.request, .upstream = upstream, .grant = number}});
@@ -365,7 +390,9 @@
     for (auto position = m_queue.front(); position != SlotQueue::None;) {
         const SlotQueue::Position following = m_queue.next(position);
         SlotQueue::Entry &entry = m_queue[position];
-        if (now + m_table.meanServiceTime() / ShortServiceDivisor > entry.deadline) {
+        // Requests that arrived later with a higher priority may have left no grant for this one before its deadline.
+        const Duration wait = isRationed() ? expectedWait(ahead) : Duration::zero();
+        if (now + wait + m_table.meanServiceTime() / ShortServiceDivisor > entry.deadline) {
             refuse(entry.member, entry.request.request, RefusalReason::DeadlineTooShort, outbox);
             m_queue.remove(position);
         } else if (hasBecomeLate(entry, now) && wasOverloaded) {
--- a/src/routing/slotselector.cpp
+++ b/src/routing/slotselector.cpp
@@ -84,9 +84,11 @@
     const int limit = table.limit(index);
     const double slowness = table.slowness(index);
     // An upstream with a reduced limit is cold or shedding load, so it is not overcommitted.
-    const bool mayOvercommit = limit > 0 && inFlight == limit && limit == table.upstream(index).slots;
+    const bool isCold = table.warmup().isCold(index);
+    const bool mayOvercommit = limit > 0 && inFlight == limit && limit == table.upstream(index).slots && !isCold;
     TreePosition &treePosition = m_treePositions[index];
-    treePosition.freeSlotKey = freeSlotKey(table, index, inFlight);
+    const bool isBlocked = table.warmup().isBlocked(index);
+    treePosition.freeSlotKey = isBlocked ? TournamentTree::Absent : freeSlotKey(table, index, inFlight);
     treePosition.overcommitKey = TournamentTree::Absent;
     if (mayOvercommit) {
         treePosition.overcommitKey = slowness;
--- a/src/routing/slotwire.cpp
+++ b/src/routing/slotwire.cpp
@@ -84,6 +84,9 @@
         if (release.report.signals.draining) {
             wire.set_draining_incarnation(release.report.signals.draining->value());
         }
+        if (release.report.signals.warmup && *release.report.signals.warmup > Duration::zero()) {
+            wire.set_warmup_us(toMicroseconds(*release.report.signals.warmup));
+        }
         if (release.report.pace) {
             wire.set_pace_percent(static_cast<std::uint32_t>(std::lround(*release.report.pace * PercentScale)));
         }
@@ -163,10 +166,14 @@
 
 UpstreamSignals readSignals(const Wire::SlotRelease &wire)
 {
-    if (!wire.has_draining_incarnation()) {
-        return {};
+    UpstreamSignals signals;
+    if (wire.has_draining_incarnation()) {
+        signals.draining = Incarnation(wire.draining_incarnation());
+    }
+    if (wire.has_warmup_us()) {
+        signals.warmup = fromMicroseconds(wire.warmup_us());
     }
-    return {.draining = Incarnation(wire.draining_incarnation())};
+    return signals;
 }
 
 ReceivedSlotMessage read(const Wire::SlotRelease &wire, const UpstreamTable &table)
--- a/src/routing/upstreamtable.cpp
+++ b/src/routing/upstreamtable.cpp
@@ -30,6 +30,8 @@
 constexpr double SuccessIncrease = 0.02;
 constexpr int ConnectFailureWeight = 5; // A refused connection proves that no process listens: one is enough to eject.
 constexpr double InitialColdShare = 0.25;
+// A cold upstream responds about twice as slowly as a warm one.
+constexpr double ColdSlowness = 2.0;
 // Cold starts, ejections and decaying averages are updated at this interval, which bounds the work of a tick.
 constexpr Duration StateUpdateInterval = std::chrono::milliseconds(100);
 
@@ -51,12 +53,63 @@
 
 UpstreamTable::UpstreamTable(UpstreamTableOptions options)
     : m_options(options)
+    , m_warmup(options.warmup)
 {
 }
 
 void UpstreamTable::setOptions(const UpstreamTableOptions &options)
 {
     m_options = options;
+    m_warmup.setOptions(options.warmup);
+}
+
+void UpstreamTable::setRole(bool isDispatcher, std::size_t liveInstances, Instant now)
+{
+    m_warmup.setRole(isDispatcher, liveInstances, now);
+    applyWarmup(now);
+}
+
+const WarmupLimiter &UpstreamTable::warmup() const
+{
+    return m_warmup;
+}
+
+WarmupLimiter &UpstreamTable::warmup()
+{
+    return m_warmup;
+}
+
+const ColdCapacity &UpstreamTable::coldCapacity() const
+{
+    return m_coldCapacity;
+}
+
+void UpstreamTable::recordWarmup(UpstreamIndex index, const UpstreamSignals &signals, Instant now)
+{
+    m_warmup.recordSignals(index, signals, now);
+    applyWarmup(now);
+}
+
+void UpstreamTable::recordGrant(UpstreamIndex index)
+{
+    m_warmup.takeGrant(index);
+}
+
+void UpstreamTable::applyWarmup(Instant now)
+{
+    for (const UpstreamIndex index : m_warmup.takeChanged()) {
+        refresh(index, now);
+        markChanged(index);
+    }
+    m_coldCapacity = ColdCapacity();
+    for (const UpstreamIndex index : m_warmup.cold()) {
+        if (m_entries[index].limit > 0) {
+            ++m_coldCapacity.upstreams;
+            m_coldCapacity.tokens += m_warmup.tokens(index);
+            m_coldCapacity.limit += m_entries[index].limit;
+            m_coldCapacity.timeLeft = std::max(m_coldCapacity.timeLeft, m_warmup.timeLeft(index, now));
+        }
+    }
 }
 
 UpstreamIndex UpstreamTable::addOrUpdate(const RoutedUpstream &upstream, Instant now)
@@ -90,13 +143,16 @@
 {
     std::vector<bool> listed(m_entries.size() + upstreams.size(), false);
     for (const RoutedUpstream &upstream : upstreams) {
-        listed[addOrUpdate(upstream, now)] = true;
+        const UpstreamIndex index = addOrUpdate(upstream, now);
+        listed[index] = true;
+        m_warmup.recordEntry(index, upstream.incarnation, upstream.warmupLeft, now);
     }
     for (UpstreamIndex index = 0; index < m_entries.size(); ++index) {
         m_entries[index].isListed = listed[index];
         refresh(index, now);
     }
     m_hasUpstreams = m_hasUpstreams || !upstreams.empty();
+    applyWarmup(now);
 }
 
 std::optional<UpstreamIndex> UpstreamTable::find(std::string_view id) const
@@ -166,7 +222,7 @@
     switch (report.outcome) {
     case AttemptOutcome::Success:
         recordOutcome(entry, false, now);
-        recordSuccess(entry, report.serviceTime, now);
+        recordSuccess(index, report.serviceTime, now);
         break;
     case AttemptOutcome::ServerError:
     case AttemptOutcome::Broken:
@@ -203,7 +259,9 @@
     case AttemptOutcome::Unused:
         break;
     }
+    m_warmup.recordAttempt(index, report, now);
     refresh(index, now);
+    applyWarmup(now);
 }
 
 void UpstreamTable::recordPace(UpstreamIndex index, double pace, Instant now)
@@ -242,10 +300,17 @@
     return now - entry.paceAt <= PaceLifetime ? *entry.pace : m_meanPace;
 }
 
-void UpstreamTable::recordSuccess(Entry &entry, Duration serviceTime, Instant now)
+double UpstreamTable::coldFactor(UpstreamIndex index) const
+{
+    return m_warmup.isCold(index) ? ColdSlowness : 1.0;
+}
+
+void UpstreamTable::recordSuccess(UpstreamIndex index, Duration serviceTime, Instant now)
 {
+    Entry &entry = m_entries[index];
     const double seconds = std::max(toSeconds(serviceTime), 1e-6);
-    const double logarithm = logServiceTime(serviceTime);
+    // A cold upstream is slow for a known time, after which it must not count as a straggler.
+    const double logarithm = logServiceTime(serviceTime) - std::log(coldFactor(index));
     ++m_samples;
     const double weight = std::max(ServiceSmoothing, 1.0 / static_cast<double>(m_samples));
     m_meanSeconds += weight * (seconds - m_meanSeconds);
@@ -263,7 +328,7 @@
         return;
     }
     Entry &entry = m_entries[index];
-    const double sample = logServiceTime(elapsed) - m_meanLog;
+    const double sample = logServiceTime(elapsed) - std::log(coldFactor(index)) - m_meanLog;
     // The elapsed time is a lower bound of the service time; below the expected value it gives no information.
     if (sample > entry.logSlowness) {
         recordSlowness(entry, sample, now);
@@ -315,6 +380,8 @@
 
 void UpstreamTable::tick(Instant now)
 {
+    m_warmup.update(now);
+    applyWarmup(now);
     const bool isUpdateDue = now - m_lastTick >= StateUpdateInterval;
     if (!isUpdateDue) {
         return;
@@ -352,7 +419,8 @@
     const int limit = currentLimit(entry, now);
     const double age = std::max(0.0, toSeconds(now - entry.lastSample));
     const double measuredSlowness = std::exp(entry.logSlowness * std::exp2(-age / SlownessHalfLifeSeconds));
-    const double slowness = measuredSlowness * paceOf(entry, now) * (1 + SlownessPerFailure * failureShareOf(entry, now));
+    const double failureFactor = 1 + SlownessPerFailure * failureShareOf(entry, now);
+    const double slowness = measuredSlowness * paceOf(entry, now) * failureFactor * coldFactor(index);
     if (limit == entry.limit && slowness == entry.slowness) {
         return;
     }
@@ -363,8 +431,13 @@
     m_nonStragglerLimit += slowness <= StragglerSlowness ? limit : 0;
     entry.limit = limit;
     entry.slowness = slowness;
-    if (!entry.isChanged) {
-        entry.isChanged = true;
+    markChanged(index);
+}
+
+void UpstreamTable::markChanged(UpstreamIndex index)
+{
+    if (!m_entries[index].isChanged) {
+        m_entries[index].isChanged = true;
         m_changed.push_back(index);
     }
 }
--- a/tests/edge/statewiretest.cpp
+++ b/tests/edge/statewiretest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 using namespace Filbertmount;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -55,7 +56,10 @@
     constexpr std::size_t largestMessage = 60'000;
     for (const std::size_t count : {0U, 1U, 300U, 301U, 1816U}) {
         CAPTURE(count);
-        RouteSet routes{.version = RouteSetVersion(5), .routes = {}, .services = {{.name = ServiceName("s")}}, .limits = {}};
+        RouteSet routes{.version = RouteSetVersion(5),
+                        .routes = {},
+                        .services = {{.name = ServiceName("s"), .warmup = 7500ms, .warmupRate = 6.5}},
+                        .limits = {}};
         for (std::size_t number = 0; number < count; ++number) {
             routes.routes.push_back({.name = "r-" + std::to_string(number),
                                      .host = "a-host-name.example",
@@ -72,7 +76,9 @@
         REQUIRE(joinedObjects.size() == 1);
         const auto &received = std::get<RouteSet>(joinedObjects[0].value);
         CHECK(received.routes == routes.routes);
-        CHECK(received.services.size() == 1);
+        REQUIRE(received.services.size() == 1);
+        CHECK(received.services[0].warmup == 7500ms);
+        CHECK(received.services[0].warmupRate == 6.5);
     }
 }
 
--- a/tests/edge/upstreamsignalstest.cpp
+++ b/tests/edge/upstreamsignalstest.cpp
@@ -46,3 +46,24 @@
         CHECK(readSignals(response, {.draining = "Draining"}, Incarnation(7)).draining.has_value() == row.isDraining);
     }
 }
+
+TEST_CASE("upstream signals: the time for which an upstream stays cold is read if it is a number of milliseconds")
+{
+    struct Row {
+        const char *value;
+        std::optional<Duration> warmup;
+    };
+    for (const Row &row : {Row{"2500", 2500ms},
+                           Row{"0.5", 500us},
+                           Row{"0", 0ms},
+                           Row{"1e99", 600s},
+                           Row{"-1", std::nullopt},
+                           Row{"nan", std::nullopt},
+                           Row{"", std::nullopt},
+                           Row{"2 s", std::nullopt}}) {
+        CAPTURE(row.value);
+        ClientResponse response;
+        response.headers = {{.name = "warm-up", .value = row.value}};
+        CHECK(readSignals(response, {.warmupLeft = "Warm-Up"}, Incarnation(7)).warmup == row.warmup);
+    }
+}
--- a/tests/platform/storeprotocoltest.cpp
+++ b/tests/platform/storeprotocoltest.cpp
@@ -188,6 +188,37 @@
     CHECK(routes.limits.idleTimeout == 15s);
 }
 
+TEST_CASE("store protocol: a service states for how long and at which rate its cold upstreams are limited")
+{
+    struct Row {
+        const char *columns;
+        const char *values;
+        /** Nothing if the version is rejected. */
+        std::optional<std::pair<Duration, double>> expected;
+    };
+    for (const Row &row : {Row{"", "", std::pair{Duration(0s), 0.0}},
+                           Row{R"(,"warmup_s","warmup_per_s")", ",7.5,6", std::pair{Duration(7500ms), 6.0}},
+                           Row{R"(,"warmup_s","warmup_per_s")", ",null,null", std::pair{Duration(0s), 0.0}},
+                           Row{R"(,"warmup_s","warmup_per_s")", ",-1,6", std::nullopt},
+                           Row{R"(,"warmup_s","warmup_per_s")", ",7,-6", std::nullopt},
+                           Row{R"(,"warmup_s","warmup_per_s")", ",7,\"6\"", std::nullopt}}) {
+        CAPTURE(row.columns);
+        CAPTURE(row.values);
+        const std::string spec =
+            std::string(R"({"version":"0000000c","routes":{"columns":[],"rows":[]},"services":{"columns":["name")") + row.columns
+            + R"(],"rows":[["x")" + row.values + "]]}}";
+        const StatePage read =
+            page(StateKind::Routes, R"({"metadata":{"name":"main","revision":9},"spec":)" + spec + R"(,"status":null})");
+        REQUIRE(read.objects.size() == 1);
+        const auto *routes = std::get_if<RouteSet>(&read.objects[0].value);
+        REQUIRE((routes != nullptr) == row.expected.has_value());
+        if (routes != nullptr) {
+            CHECK(routes->services[0].warmup == row.expected->first);
+            CHECK(routes->services[0].warmupRate == row.expected->second);
+        }
+    }
+}
+
 TEST_CASE("store protocol: each failure is mapped to its problem")
 {
     struct Row {
--- a/tests/routing/routernetworktest.cpp
+++ b/tests/routing/routernetworktest.cpp
@@ -183,11 +183,12 @@
     CHECK(request.timeLeft == 3ms);
     CHECK(request.excluded.at(0) == 1);
     CHECK(request.isImmediate);
-    const SlotRelease release{.grant = 4, .upstream = 1, .report = {AttemptOutcome::Broken, 9ms}};
+    const SlotRelease release{.grant = 4, .upstream = 1, .report = {AttemptOutcome::Broken, 9ms, {}, {.warmup = 2s}}};
     const auto released = std::get<SlotRelease>(roundTrip(release));
     CHECK(released.upstream == 1);
     CHECK(released.report.outcome == AttemptOutcome::Broken);
     CHECK(released.report.serviceTime == 9ms);
+    CHECK(released.report.signals.warmup == 2s);
     const InFlightReport report{.upstreams = {{.upstream = 1, .attempts = 3}}, .lastGrant = 5};
     CHECK(std::get<InFlightReport>(roundTrip(report)).upstreams.at(0).attempts == 3);
 }
