--- a/include/filbertmount/telemetry/metrics.h
+++ b/include/filbertmount/telemetry/metrics.h
@@ -45,6 +45,8 @@
                                             "Requests at the entry, by client account and outcome"};
 inline constexpr MetricInfo ZoneEvacuated{"filbertmount_zone_evacuated",
                                           "1 while this instance sends no requests to the zone's upstreams, by zone"};
+inline constexpr MetricInfo WarmupChanges{"filbertmount_warmup_changes_total",
+                                          "Upstreams that turned cold or warm, by service, state and reason"};
 inline constexpr MetricInfo Members{"filbertmount_members", "Entry instances seen alive"};
 } // namespace MetricNames
 
