Enforce quotas of client accounts over all instances

Cause: an account's requests arrive at all instances, so no instance can check a limit alone, and two instances that grant the tokens of one account would exceed it during a partition. Change: QuotaOwner holds the token buckets of the accounts that an instance owns, QuotaClient spends leased tokens, and QuotaElection lets at most one instance grant the tokens of an account at a time: a leader that more than half of the known instances follow publishes the owners. QuotaService connects them to the fleet and EdgeServer creates it with [quotas] only. startWithQuota() is the call for CallerHandler; nothing calls it yet.

--- a/include/filbertmount/telemetry/metrics.h
+++ b/include/filbertmount/telemetry/metrics.h
@@ -42,6 +42,11 @@
 inline constexpr MetricInfo Quarantined{"filbertmount_quarantined_total",
                                         "Requests refused because they crash upstreams, by service"};
 inline constexpr MetricInfo Members{"filbertmount_members", "Entry instances seen alive"};
+inline constexpr MetricInfo QuotaDecisions{"filbertmount_quota_decisions_total",
+                                           "Requests of accounts with a limit, by outcome of the quota"};
+inline constexpr MetricInfo QuotaBuckets{"filbertmount_quota_buckets", "Accounts whose tokens this instance grants"};
+inline constexpr MetricInfo QuotaWaiting{"filbertmount_quota_waiting", "Requests that wait for a token of their account"};
+inline constexpr MetricInfo QuotaLeading{"filbertmount_quota_leading", "1 while this instance assigns accounts to owners"};
 } // namespace MetricNames
 
 /**
--- a/src/edge/callenvironment.h
+++ b/src/edge/callenvironment.h
@@ -18,6 +18,8 @@
 
 namespace Filbertmount {
 
+class QuotaGate;
+
 /** Components that all forwarded calls of an instance share. All of them outlive the calls. */
 struct CallEnvironment {
     IoLoop &loop;
@@ -35,6 +37,8 @@
     std::function<void(const ServiceName &, const UpstreamId &)> onWrongUpstream;
     /** Set while the instance is shutting down. */
     std::optional<DrainSchedule> drain = {};
+    /** Null if quotas of client accounts are not enforced. */
+    QuotaGate *quotas = nullptr;
 };
 
 /** A request with its matched route, service and time limits. */
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -135,6 +135,8 @@
                        onStateChange(changes);
                    })
     , m_router({.self = m_self.id, .zone = m_settings.zone, .send = m_fleet.sender(), .seed = randomSeed()})
+    , m_quotas(m_settings.quotas ? std::make_unique<QuotaService>(loop, m_fleet, m_metrics, *m_settings.quotas, randomSeed())
+                                 : nullptr)
     , m_connectionPool(loop)
     , m_crashGuard(m_self.id,
                    [this](Wire::Body body) {
@@ -159,7 +161,8 @@
                     .onWrongUpstream =
                         [this](const ServiceName &service, const UpstreamId &upstream) {
                             markUpstreamDown(service, upstream);
-                        }}
+                        },
+                    .quotas = m_quotas.get()}
     , m_callerHandler(m_environment, randomSeed())
     , m_readinessHandler(m_dialect.readinessPath,
                          [this]() -> ServerResponse {
@@ -246,12 +249,18 @@
         logLine(LogLevel::Warning,
                 "the process did not run for a while; reading the store again",
                 {{.name = "gap_ms", .value = toMilliseconds(gap)}});
+        if (m_quotas) {
+            m_quotas->onResume(now);
+        }
         if (m_onResume) {
             m_onResume();
         }
     }
     m_fleet.tick(now);
     m_router.tick(now);
+    if (m_quotas) {
+        m_quotas->tick(now);
+    }
     startForwardingWhenReady(now);
     ++m_ticks;
     if (m_ticks % TicksPerProbe == 0 && !m_onShutDownDone) {
@@ -316,6 +325,9 @@
               .value = static_cast<std::int64_t>(m_mirror.revision(StateKind::Routes).value_or(Revision()).value())}});
     m_callerHandler.setRoutes(routes);
     m_probeLoop.setRoutes(routes->routes());
+    if (m_quotas) {
+        m_quotas->setVersion(routes->version().value());
+    }
     m_services.clear();
     for (const ServiceAccess &service : routes->routes().services) {
         m_services.push_back(service.name);
@@ -386,6 +398,9 @@
         addresses.push_back(std::get<InstanceRecord>(object.value).peerAddress);
     }
     m_fleet.setKnownAddresses(std::move(addresses));
+    if (m_quotas) {
+        m_quotas->setRegisteredInstances(m_mirror.instances().size());
+    }
     configureServices();
 }
 
@@ -407,6 +422,9 @@
     m_shutdownStartedAt = ProcessClock::now();
     m_callerHandler.startDraining({.removedFromBalancerAt = m_shutdownStartedAt + BalancerRemovalTime,
                                    .exitAt = m_shutdownStartedAt + m_settings.shutdownGrace - ShutdownMargin});
+    if (m_quotas) {
+        m_quotas->startDraining();
+    }
     m_fleet.leave();
     logLine(LogLevel::Info,
             "shutting down",
@@ -434,6 +452,9 @@
             {{.name = "unanswered", .value = static_cast<std::int64_t>(pending)},
              {.name = "elapsed_ms", .value = toMilliseconds(elapsed)}});
     m_callerListener.closeAll();
+    if (m_quotas) {
+        m_quotas->returnTokens();
+    }
     const std::function<void()> done = m_onShutDownDone;
     done();
 }
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -4,6 +4,7 @@
 #include "edge/fleet.h"
 #include "edge/listener.h"
 #include "edge/probeloop.h"
+#include "edge/quotaservice.h"
 #include "edge/singlepathhandler.h"
 #include "edge/statereplicator.h"
 
@@ -68,6 +69,8 @@
     Fleet m_fleet;
     StateReplicator m_replicator;
     Router m_router;
+    /** Null if quotas of client accounts are not enforced. */
+    std::unique_ptr<QuotaService> m_quotas;
     ConnectionPool m_connectionPool;
     CrashGuard m_crashGuard;
     CrashHistorySync m_crashHistory;
