Merge quotas over all instances; admit requests by the quota of their account

Cause: the quota gate was built beside the accounts and nothing called it; the dispatcher's queue has flows and ranks that no request set. Change: CallerHandler asks the gate for a token after authentication, where the account has a limit and quotas are configured. The rank of a request and the flow of its account go with the slot request.

--- a/src/edge/callenvironment.h
+++ b/src/edge/callenvironment.h
@@ -18,6 +18,8 @@
 
 namespace Filbertmount {
 
+class QuotaGate;
+
 /** Components that all forwarded calls of an instance share. All of them outlive the calls. */
 struct CallEnvironment {
     IoLoop &loop;
@@ -37,6 +39,8 @@
     std::optional<DrainSchedule> drain = {};
     /** Returns when the store last confirmed the routes of this instance; nothing if unknown. */
     std::function<std::optional<Instant>()> routesConfirmedAt = {};
+    /** Null if quotas of client accounts are not enforced. */
+    QuotaGate *quotas = nullptr;
 };
 
 /** A request with its matched route, service and time limits. */
@@ -49,6 +53,10 @@
     const ClientAccount *account = nullptr;
     ServiceName service;
     Priority priority = Priority::Interactive;
+    /** Urgency among the requests of the service; see SlotRequest. */
+    std::uint8_t rank = 0;
+    /** Requests of one account take turns with those of others; 0 for requests without an account. */
+    FlowId flow = {};
     /** Id that the caller gave to the request, the same for all attempts of this call; empty without one. */
     std::string requestId;
     /** Latest time at which the caller must have a response. */
--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -1,6 +1,9 @@
 #include "edge/callerhandler.h"
 
+#include "edge/quotaadmission.h"
+
 #include <filbertmount/telemetry/log.h>
+#include <filbertmount/types/rendezvoushash.h>
 
 #include <algorithm>
 
@@ -10,6 +13,7 @@
 
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
+constexpr int TooManyRequests = 429;
 constexpr int Unavailable = 503;
 // In seconds; an instance receives its routes within about a second of its start.
 constexpr const char *RetryAfterNoRoutes = "0.3";
@@ -214,6 +218,8 @@
                          .account = account,
                          .service = service,
                          .priority = m_ranks.priorityOf(route, account, service),
+                         .rank = m_ranks.rankOf(route, account, service),
+                         .flow = account != nullptr ? FlowId(stableHash(account->name.value())) : FlowId(),
                          .requestId = id != nullptr ? *id : std::string(),
                          .deadline = deadlineOf(request, route.timeout),
                          .objective = objectiveOf(request, route)};
@@ -226,11 +232,28 @@
     if (request.account != nullptr) {
         m_accountMetrics.count(request.account->name, AccountRequest::Admitted);
     }
+    if (request.account != nullptr && request.account->rate > 0 && m_environment.quotas != nullptr) {
+        return startCallWithQuota(std::move(request), std::move(respond));
+    }
     auto call = std::make_shared<ForwardedCall>(m_environment, std::move(request), std::move(respond));
     call->start();
     return call;
 }
 
+std::shared_ptr<ActiveRequest> CallerHandler::startCallWithQuota(RoutedRequest request, ResponseHandler respond)
+{
+    const ClientAccount &account = *request.account;
+    QuotaAccount limited{.name = account.name.value(), .limit = {.ratePerSecond = account.rate, .burst = account.burst}};
+    const auto refuse = [this, name = account.name](const ServerRequest &refused,
+                                                    ResponseHandler &handler,
+                                                    ServerResponse response,
+                                                    const std::string &reason) {
+        m_accountMetrics.count(name, response.status == TooManyRequests ? AccountRequest::OverQuota : AccountRequest::Refused);
+        respondDirectly(refused, handler, std::move(response), reason);
+    };
+    return startWithQuota(m_environment, std::move(limited), std::move(request), std::move(respond), refuse);
+}
+
 void CallerHandler::respondDirectly(const ServerRequest &request,
                                     ResponseHandler &respond,
                                     ServerResponse localResponse,
--- a/src/edge/callerhandler.h
+++ b/src/edge/callerhandler.h
@@ -47,6 +47,8 @@
     std::shared_ptr<ActiveRequest>
     forwardAs(const ClientAccount *account, const ForwardRoute &route, ServerRequest request, ResponseHandler respond);
     std::shared_ptr<ActiveRequest> startCall(RoutedRequest request, ResponseHandler respond);
+    /** Starts a call once the account of the request has a token, or refuses it. */
+    std::shared_ptr<ActiveRequest> startCallWithQuota(RoutedRequest request, ResponseHandler respond);
     /** Holds a request without a route if a newer configuration may have one; else responds with 404 or 503. */
     std::shared_ptr<ActiveRequest> handleUnknownRoute(ServerRequest request, ResponseHandler respond, bool isFinal);
     /** Holds a request whose key may be in a newer configuration, or responds to it if it cannot wait. */
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -142,6 +142,8 @@
                     [this](const ServiceName &service, const UpstreamId &upstream, const WarmupChange &change) {
                         onWarmupChange(service, upstream, change);
                     }})
+    , m_quotas(m_settings.quotas ? std::make_unique<QuotaService>(loop, m_fleet, m_metrics, *m_settings.quotas, randomSeed())
+                                 : nullptr)
     , m_connectionPool(loop)
     , m_evacuationEffects(m_metrics)
     , m_evacuationStart(m_settings.zones.evacuations)
@@ -172,7 +174,8 @@
                     .routesConfirmedAt =
                         [this] {
                             return m_replicator.confirmedAt(StateKind::Routes);
-                        }}
+                        },
+                    .quotas = m_quotas.get()}
     , m_callerHandler(m_environment, randomSeed())
     , m_readinessHandler(m_dialect.readinessPath,
                          [this]() -> ServerResponse {
@@ -266,12 +269,18 @@
         logLine(LogLevel::Warning,
                 "the process did not run for a while; reading the store again",
                 {{.name = "gap_ms", .value = toMilliseconds(gap)}});
+        if (m_quotas) {
+            m_quotas->onResume(now);
+        }
         if (m_onResume) {
             m_onResume();
         }
     }
     m_fleet.tick(now);
     m_router.tick(now);
+    if (m_quotas) {
+        m_quotas->tick(now);
+    }
     startForwardingWhenReady(now);
     ++m_ticks;
     if (m_ticks % TicksPerProbe == 0 && !m_onShutDownDone) {
@@ -347,6 +356,9 @@
     m_callerHandler.setRoutes(routes);
     m_probeLoop.setRoutes(routes->routes());
     m_services = routes->routes().services;
+    if (m_quotas) {
+        m_quotas->setVersion(routes->version().value());
+    }
     configureServices();
     m_callerHandler.retryPendingRequests();
 }
@@ -459,6 +471,9 @@
         addresses.push_back(std::get<InstanceRecord>(object.value).peerAddress);
     }
     m_fleet.setKnownAddresses(std::move(addresses));
+    if (m_quotas) {
+        m_quotas->setRegisteredInstances(m_mirror.instances().size());
+    }
     configureServices();
 }
 
@@ -480,6 +495,9 @@
     m_shutdownStartedAt = ProcessClock::now();
     m_callerHandler.startDraining({.removedFromBalancerAt = m_shutdownStartedAt + BalancerRemovalTime,
                                    .exitAt = m_shutdownStartedAt + m_settings.shutdownGrace - ShutdownMargin});
+    if (m_quotas) {
+        m_quotas->startDraining();
+    }
     m_fleet.leave();
     logLine(LogLevel::Info,
             "shutting down",
@@ -507,6 +525,9 @@
             {{.name = "unanswered", .value = static_cast<std::int64_t>(pending)},
              {.name = "elapsed_ms", .value = toMilliseconds(elapsed)}});
     m_callerListener.closeAll();
+    if (m_quotas) {
+        m_quotas->returnTokens();
+    }
     const std::function<void()> done = m_onShutDownDone;
     done();
 }
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -132,6 +132,8 @@
 {
     m_environment.router.place({.service = m_request.service,
                                 .priority = m_request.priority,
+                                .rank = m_request.rank,
+                                .flow = m_request.flow,
                                 .deadline = m_request.deadline,
                                 .objective = m_request.objective,
                                 .excluded = m_triedUpstreams,
--- a/src/edge/requestranks.cpp
+++ b/src/edge/requestranks.cpp
@@ -1,5 +1,7 @@
 #include "edge/requestranks.h"
 
+#include <filbertmount/routing/placement.h>
+
 #include <algorithm>
 #include <optional>
 
@@ -30,8 +32,14 @@
 
 Priority RequestRanks::priorityOf(const ForwardRoute &route, const ClientAccount *account, const ServiceName &service) const
 {
-    const int rank = account != nullptr ? account->rank.value_or(route.rank) : route.rank;
-    return rank <= m_mostUrgent.at(service) ? Priority::Interactive : Priority::Patient;
+    return rankOf(route, account, service) == 0 ? Priority::Interactive : Priority::Patient;
+}
+
+std::uint8_t RequestRanks::rankOf(const ForwardRoute &route, const ClientAccount *account, const ServiceName &service) const
+{
+    constexpr std::int64_t lastRank = QueueRanks - 1;
+    const std::int64_t rank = account != nullptr ? account->rank.value_or(route.rank) : route.rank;
+    return static_cast<std::uint8_t>(std::clamp<std::int64_t>(rank - m_mostUrgent.at(service), 0, lastRank));
 }
 
 } // namespace Filbertmount
--- a/src/edge/requestranks.h
+++ b/src/edge/requestranks.h
@@ -19,6 +19,8 @@
      * can have a lower rank. The rank of an account takes precedence; @p account is null if the request needs none.
      */
     [[nodiscard]] Priority priorityOf(const ForwardRoute &route, const ClientAccount *account, const ServiceName &service) const;
+    /** Returns the rank of such a request among those of the service; 0 if it is urgent. */
+    [[nodiscard]] std::uint8_t rankOf(const ForwardRoute &route, const ClientAccount *account, const ServiceName &service) const;
 
 private:
     /** Lowest rank of the requests of each service. */
--- a/tests/edge/requestrankstest.cpp
+++ b/tests/edge/requestrankstest.cpp
@@ -40,6 +40,7 @@
         }
         const RequestRanks ranks(routes);
         const ClientAccount *account = row.account ? &routes.accounts[*row.account] : nullptr;
+        CHECK((ranks.rankOf(routes.routes[0], account, service) == 0) == row.isUrgent);
         CHECK((ranks.priorityOf(routes.routes[0], account, service) == Priority::Interactive) == row.isUrgent);
     }
 }
