--- a/src/edge/quotaadmission.cpp
+++ b/src/edge/quotaadmission.cpp
@@ -8,6 +8,8 @@
 
 constexpr int TooManyRequests = 429;
 constexpr int Unavailable = 503;
+// Another instance can serve the request at once.
+constexpr Duration ShutdownRetryAfter = std::chrono::milliseconds(50);
 
 using RefusalHandler = std::function<void(const ServerRequest &, ResponseHandler &, ServerResponse, const std::string &)>;
 
@@ -64,13 +66,16 @@
             return;
         }
         m_environment.quotas->cancel(m_waiter);
-        onDecision({.outcome = QuotaOutcome::Unavailable});
+        onDecision({.outcome = QuotaOutcome::Unavailable, .retryAfter = ShutdownRetryAfter});
     }
 
 private:
     void onDecision(const QuotaDecision &decision)
     {
         if (m_respond == nullptr) {
+            if (decision.outcome == QuotaOutcome::Granted) {
+                m_environment.quotas->release(m_account.name, decision.token);
+            }
             return;
         }
         if (decision.outcome != QuotaOutcome::Granted) {
--- /dev/null
+++ b/tests/accounts/quotaelectiontest.cpp
@@ -0,0 +1,95 @@
+// Guards the rule that the bound rests on: at most one instance at a time may grant the tokens of an account.
+#include <doctest/doctest.h>
+
+#include "support/quotafleet.h"
+
+#include <random>
+
+using namespace Filbertmount;
+using namespace Filbertmount::Testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration SampleInterval = milliseconds(10);
+
+/** Cuts, suspends and restarts random instances for a while, in ways that overlap. */
+class Chaos
+{
+public:
+    Chaos(QuotaFleet &fleet, std::uint64_t seed)
+        : m_fleet(fleet)
+        , m_random(seed)
+    {
+    }
+
+    void step()
+    {
+        switch (number(6)) {
+        case 0:
+            for (int count = 0; count < 12; ++count) {
+                m_fleet.cut(number(m_fleet.size()), number(m_fleet.size()));
+            }
+            break;
+        case 1:
+            m_fleet.heal();
+            break;
+        case 2:
+            m_fleet.partition(1 + number(m_fleet.size() - 1));
+            break;
+        case 3:
+            m_fleet.freeze(number(2) == 0 ? m_fleet.leader() : number(m_fleet.size()), milliseconds(200 + number(1500)));
+            break;
+        case 4: {
+            const std::size_t index = number(2) == 0 ? m_fleet.leader() : number(m_fleet.size());
+            m_fleet.kill(index);
+            m_fleet.restart(index);
+            break;
+        }
+        default:
+            m_fleet.net.setLoss(0.15 * static_cast<double>(number(3)));
+            break;
+        }
+    }
+
+private:
+    std::size_t number(std::size_t count)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
+    }
+
+    QuotaFleet &m_fleet;
+    std::mt19937_64 m_random;
+};
+
+} // namespace
+
+TEST_CASE("at most one instance may grant the tokens of an account, under overlapping faults")
+{
+    const std::vector<std::string> accounts = {"a", "b", "c", "d", "e", "f", "g", "h"};
+    std::size_t granting = 0;
+    std::size_t samples = 0;
+    std::size_t violations = 0;
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        QuotaFleet fleet(9, {.seed = seed, .duplicate = 0.05, .maxDelay = milliseconds(30)});
+        Chaos chaos(fleet, seed);
+        fleet.net.runFor(seconds(3));
+        for (int step = 0; step < 1000; ++step) {
+            if (step % 50 == 0) {
+                chaos.step();
+            }
+            fleet.net.runFor(SampleInterval);
+            for (const std::string &account : accounts) {
+                const std::size_t count = fleet.countGranting(account);
+                violations += count > 1 ? 1 : 0;
+                granting += count;
+                ++samples;
+            }
+        }
+    }
+    CHECK(violations == 0);
+    MESSAGE("accounts with an owner, in percent: ", 100.0 * static_cast<double>(granting) / static_cast<double>(samples));
+    // Guards against a fleet without any owners.
+    CHECK(granting * 4 > samples);
+}
--- a/tests/accounts/quotafaulttest.cpp
+++ b/tests/accounts/quotafaulttest.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int Seeds = 200;
+// Requests per second, five times the rate of the account.
+constexpr double Offered = 300;
 constexpr QuotaLimit Large{.ratePerSecond = 60, .burst = 30};
 
 struct Fault {
@@ -108,10 +110,14 @@
             FakeNetworkOptions network = fault.network;
             network.seed = static_cast<std::uint64_t>(seed);
             QuotaFleet fleet(9, network);
-            fleet.addLoad({.limit = Large, .perSecond = 300});
+            // With odd seeds, the account is idle before the fault, so its bucket is full.
+            const bool isIdle = seed % 2 != 0;
+            fleet.addLoad({.limit = Large, .perSecond = isIdle ? 1.0 : Offered});
             // The phase of the leader's rounds at the time of the fault depends on the seed.
             fleet.net.runFor(seconds(6) + milliseconds(7 * (seed % 50)));
             fault.inject(fleet);
+            fleet.net.runFor(milliseconds(isIdle ? 13 * seed : 0));
+            fleet.setRate(0, Offered);
             fleet.net.runFor(seconds(10));
             largest = std::max(largest, largestWindow(fleet.tally().granted, fleet.options.window));
             bound = fleet.bound(Large);
--- a/tests/support/quotafleet.h
+++ b/tests/support/quotafleet.h
@@ -170,6 +170,14 @@
         }
         return 0;
     }
+    /** Instances that may grant the full limit of an account now, suspended ones included. */
+    [[nodiscard]] std::size_t countGranting(const std::string &account) const
+    {
+        return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [&](const auto &node) {
+            const QuotaElection &election = node->engine->election();
+            return node->runs && !election.marginShare() && election.responsibleSince(stableHash(account), net.now()).has_value();
+        }));
+    }
     [[nodiscard]] std::size_t leader() const
     {
         for (std::size_t index = 0; index < m_nodes.size(); ++index) {
