Decide by cost when requests leave their availability zone

A constant preference for the own zone does not know what a request costs elsewhere: it treats a 90 kB download like a 400 byte lookup, and it disappears at half of the slots.

ZoneExitPolicy compares the expected wait and service time at home with service time, round trip and worth of the bytes elsewhere. SlotDispatcher uses it when zones.crossing_ms_per_kb is set, and decides as before otherwise. A request may wait for a slot of its zone while slots elsewhere are free, for at most half of the time that it would take there, never into its latency objective, and not while many requests wait. Differences between free upstreams send a request away only when they persist over about 32 requests or are large, and only in one direction between two zones. SlotRequest states the expected bytes, which RouteSizes tracks for each route; SlotGrant states why the upstream is in another zone, which the receiver counts with the bytes.

--- a/include/filbertmount/routing/placement.h
+++ b/include/filbertmount/routing/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <filbertmount/document/servicedocument.h>
+#include <filbertmount/routing/zoneexitpolicy.h>
 #include <filbertmount/types/ids.h>
 #include <filbertmount/types/instant.h>
 
@@ -27,6 +28,15 @@
     absl::InlinedVector<UpstreamId, 2> excluded;
     /** A hedged attempt gets a slot only when one is free at once; it is never queued. */
     bool isHedge = false;
+    /** Expected size of request and response together, in bytes; 0 when unknown. */
+    std::uint64_t expectedBytes = 0;
+};
+
+/** An attempt at an upstream in another zone than the entry instance. */
+struct ZoneExit {
+    AvailabilityZone from;
+    AvailabilityZone to;
+    ZoneExitReason reason = ZoneExitReason::None;
 };
 
 /** Permission to send one attempt to one upstream. Must be released with Router::release. */
@@ -43,6 +53,8 @@
     InstanceId dispatcher;
     /** Team that the attempt is counted for in the admission control. */
     TeamName team;
+    /** Set when the attempt leaves its zone and this is decided by cost. */
+    std::optional<ZoneExit> zoneExit;
 };
 
 /** Why no upstream was assigned. Values are sent to other instances. */
--- a/include/filbertmount/routing/router.h
+++ b/include/filbertmount/routing/router.h
@@ -49,6 +49,7 @@
     LimitSettings limits;
     /** See SlotDispatcherOptions. */
     double ownZoneAdvantage = SlotDispatcherOptions().ownZoneAdvantage;
+    std::optional<ZoneExitOptions> zoneExit;
 };
 
 /** Returns the routing settings of @p document. */
@@ -134,6 +135,8 @@
     bool admit(const TeamName &team, Priority priority);
     void finish(const TeamName &team);
     void collectOutput(Service &service, DeferredEffects &effects) ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
+    /** The exit of a placement whose upstream is in another zone than this instance; nothing if it is not decided by cost. */
+    std::optional<ZoneExit> zoneExitOf(const Service &service, const SlotPlacement &placement) const;
     bool receive(Service &service, MemberIndex from, const Wire::Body &body, DeferredEffects &effects)
         ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
     void startPlacement(Service &service, const PlacementQuery &query, PlacementHandler handler, DeferredEffects &effects)
--- a/include/filbertmount/routing/slotclient.h
+++ b/include/filbertmount/routing/slotclient.h
@@ -36,6 +36,8 @@
     UpstreamIndex upstream = 0;
     /** Number of the grant; NoGrant when the attempt was placed locally. */
     std::uint64_t grant = NoGrant;
+    /** Why the upstream is in another zone, as stated in the grant. */
+    ZoneExitReason exitReason = ZoneExitReason::None;
 };
 
 /** Decisions on requests of this instance. Each request gets exactly one placement or refusal. */
--- a/include/filbertmount/routing/slotdispatcher.h
+++ b/include/filbertmount/routing/slotdispatcher.h
@@ -4,6 +4,7 @@
 #include <filbertmount/routing/slotqueue.h>
 #include <filbertmount/routing/slotselector.h>
 #include <filbertmount/routing/upstreamtable.h>
+#include <filbertmount/routing/zoneexitpolicy.h>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -26,6 +27,8 @@
      * zone. This is the value for an idle service; it falls to 1 as the slots fill up.
      */
     double ownZoneAdvantage = 1.25;
+    /** Decides by cost, instead of by ownZoneAdvantage, when requests leave their zone. */
+    std::optional<ZoneExitOptions> zoneExit;
 };
 
 /**
@@ -70,6 +73,8 @@
         MemberIndex member = 0;
         UpstreamIndex upstream = 0;
         Instant start;
+        /** Index of the member's zone. */
+        std::size_t zone = 0;
     };
 
     /** Time at which an attempt that still runs counts as overdue. */
@@ -78,13 +83,22 @@
         std::uint64_t grant = 0;
     };
 
+    /** What to do with a request, and with which upstream. */
+    struct Choice {
+        UpstreamIndex upstream = SlotSelector::None;
+        ZoneExitReason exitReason = ZoneExitReason::None;
+        /** The request waits this long for a slot of its zone. */
+        std::optional<Duration> holdFor;
+    };
+
     /** Grants free slots to queued requests and refuses those that cannot finish before their deadline. */
     void serveQueue(Instant now, SlotOutbox &outbox);
-    void grant(MemberIndex member, const SlotRequest &request, UpstreamIndex upstream, Instant now, SlotOutbox &outbox);
+    void grant(MemberIndex member, const SlotRequest &request, const Choice &choice, Instant now, SlotOutbox &outbox);
     void refuse(MemberIndex member, std::uint64_t request, RefusalReason reason, SlotOutbox &outbox) const;
     /** Sheds the last queued request if it is late or has a lower priority than @p priority; returns whether it did. */
     bool shedForPriority(Priority priority, SlotOutbox &outbox);
-    void enqueue(MemberIndex member, const SlotRequest &request, Instant now, SlotOutbox &outbox);
+    void
+    enqueue(MemberIndex member, const SlotRequest &request, std::optional<Duration> holdFor, Instant now, SlotOutbox &outbox);
     /** Sends the expected wait to the member, so that it does not time out meanwhile. */
     void announceWait(SlotQueue::Entry &entry, std::size_t ahead, Instant now, SlotOutbox &outbox) const;
     /** Refuses expired requests, moves late ones back and renews announced waits. */
@@ -92,7 +106,17 @@
     void scheduleOverdueCheck(std::uint64_t grant, Instant now);
     void checkOverdueAttempts(Instant now);
     [[nodiscard]] bool hasUpstreamFor(const SlotRequest &request) const;
-    UpstreamIndex chooseUpstream(const SlotRequest &request);
+    Choice chooseUpstream(const SlotRequest &request);
+    /** Chooses for a request that waited for @p waited, besides @p queued others of which @p homeQueue of its zone come first. */
+    Choice chooseByCost(const SlotRequest &request, Duration waited, std::size_t homeQueue, std::size_t queued);
+    /** Best upstream that may get one attempt beyond its slots, or None. */
+    UpstreamIndex chooseOvercommitted(const SlotRequest &request);
+    /** Chooses for a queued request that comes after @p heldAhead held ones; renews or ends its hold. */
+    Choice chooseForQueued(SlotQueue::Position position, std::size_t heldAhead, Instant now);
+    /** Whether @p queued requests are few enough that another may wait for its zone while slots elsewhere are free. */
+    [[nodiscard]] bool mayHold(std::size_t queued) const;
+    /** Records the round trip to the member's zone from an attempt that succeeded. */
+    void recordExchange(const Grant &grant, const AttemptReport &report, Instant now);
     /** The objective is sooner than the mean service time. */
     [[nodiscard]] bool isLate(const SlotRequest &request) const;
     [[nodiscard]] bool hasBecomeLate(const SlotQueue::Entry &entry, Instant now) const;
@@ -103,6 +127,8 @@
     [[nodiscard]] bool mayOvercommit() const;
     /** Enough slots are free to grant one to a hedged attempt. */
     [[nodiscard]] bool hasSlotsForHedges() const;
+    /** Share of the slots in use. */
+    [[nodiscard]] double utilization() const;
     /** Advantage of the requester's zone at the current utilization of the slots. */
     [[nodiscard]] double ownZoneAdvantage() const;
     [[nodiscard]] bool isWaitingForReports(Instant now) const;
@@ -118,6 +144,7 @@
     SlotDispatcherOptions m_options;
     SlotQueue m_queue;
     SlotSelector m_selector;
+    ZoneExitPolicy m_zoneExit;
     std::vector<int> m_inFlight;
     absl::flat_hash_map<std::uint64_t, Grant> m_grants;
     boost::circular_buffer<OverdueCheck> m_overdueChecks;
--- a/include/filbertmount/routing/slotmessages.h
+++ b/include/filbertmount/routing/slotmessages.h
@@ -2,6 +2,7 @@
 
 #include <filbertmount/routing/placement.h>
 #include <filbertmount/routing/routedupstream.h>
+#include <filbertmount/routing/zoneexitpolicy.h>
 
 #include <absl/container/inlined_vector.h>
 
@@ -27,6 +28,8 @@
     absl::InlinedVector<UpstreamIndex, 2> excluded;
     /** The request is refused instead of queued when no slot is free. */
     bool isImmediate = false;
+    /** Expected size of request and response together, in bytes; 0 when unknown. */
+    std::uint64_t expectedBytes = 0;
 };
 
 /** Assigns a slot of an upstream to a request. */
@@ -35,6 +38,8 @@
     UpstreamIndex upstream = 0;
     /** Increases with each grant of a dispatcher; never 0. */
     std::uint64_t grant = 0;
+    /** Why the upstream is in another zone than the entry instance. */
+    ZoneExitReason exitReason = ZoneExitReason::None;
 };
 
 /** States that the request is queued. The dispatcher responds or sends this message again within the announced wait. */
--- a/include/filbertmount/routing/slotqueue.h
+++ b/include/filbertmount/routing/slotqueue.h
@@ -3,6 +3,7 @@
 #include <filbertmount/routing/slotmessages.h>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/inlined_vector.h>
 
 #include <array>
 #include <cstdint>
@@ -36,6 +37,10 @@
         bool isLate = false;
         /** End of the wait that was announced to the member. */
         Instant responseDue;
+        /** Index of the zone of the entry instance; entries of each zone are counted. */
+        std::size_t zone = 0;
+        /** Until when the request waits for a slot of its zone although slots elsewhere are free; set by hold(). */
+        std::optional<Instant> heldUntil;
         Position next = None;
         Position previous = None;
     };
@@ -50,6 +55,14 @@
     void remove(Position position);
     /** Marks an entry as late and moves it behind all entries that can still meet their objectives. */
     void demote(Position position);
+    /** Lets a free slot of another zone pass the entry until @p until. */
+    void hold(Position position, Instant until);
+    void endHold(Position position);
+    /** Number of held entries. */
+    [[nodiscard]] std::size_t held() const;
+    /** Number of entries of the zone with index @p zone. */
+    [[nodiscard]] std::size_t countInZone(std::size_t zone) const;
+
     /**
      * Sets whether the newest entries of equal rank come first. Under overload, serving the oldest first would serve each of
      * them just after its objective.
@@ -89,6 +102,9 @@
     std::vector<Position> m_free;
     std::array<RankList, Ranks> m_rankLists;
     bool m_isNewestFirst = false;
+    std::size_t m_held = 0;
+    /** Number of entries by the index of their zone. */
+    absl::InlinedVector<std::uint32_t, 8> m_byZone;
     absl::flat_hash_map<std::pair<MemberIndex, std::uint64_t>, Position> m_positions;
 };
 
--- a/include/filbertmount/routing/slotselector.h
+++ b/include/filbertmount/routing/slotselector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <filbertmount/routing/upstreamtable.h>
+#include <filbertmount/routing/zoneexitpolicy.h>
 
 #include <memory>
 #include <span>
@@ -48,6 +49,14 @@
      */
     UpstreamIndex choose(Slots slots, std::string_view zone, std::span<const UpstreamIndex> excluded, double maxSlowness);
 
+    /**
+     * Returns the state of each zone with its best free upstream, in the order of zoneIndex(). The view is valid until the next
+     * call. @p excluded and @p maxSlowness are as for choose().
+     */
+    std::span<const ZoneOffer> zoneOffers(std::span<const UpstreamIndex> excluded, double maxSlowness);
+    /** Index of a zone; ZoneExitQuery::UnknownZone when no upstream was ever there. Indices stay the same. */
+    [[nodiscard]] std::size_t zoneIndex(std::string_view name) const;
+
     /** Sets how many times as fast an upstream in another zone must be to be preferred to one in the requester's zone. */
     void setOwnZoneAdvantage(double advantage);
 
@@ -66,10 +75,14 @@
         bool isAssigned = false;
         double freeSlotKey = 0;
         double overcommitKey = 0;
+        int limit = 0;
+        double averageSlots = 0;
     };
 
     Zone &zoneOf(std::string_view name);
     void ensureTreePosition(const UpstreamTable &table, UpstreamIndex index);
+    /** Replaces the share of one upstream in the sums of its zone. */
+    void setSlots(TreePosition &treePosition, int limit, double slowness);
     void setKeys(const TreePosition &treePosition, double freeSlotKey, double overcommitKey);
     /** Hides upstreams from choose() until restoreToTrees(). */
     void removeFromTrees(std::span<const UpstreamIndex> indices);
@@ -77,6 +90,7 @@
 
     std::vector<std::unique_ptr<Zone>> m_zones;
     std::vector<TreePosition> m_treePositions;
+    std::vector<ZoneOffer> m_offers;
     std::uint64_t m_keyChanges = 0;
     double m_ownZoneAdvantage = 1;
 };
--- a/include/filbertmount/telemetry/metrics.h
+++ b/include/filbertmount/telemetry/metrics.h
@@ -41,6 +41,10 @@
 inline constexpr MetricInfo DocumentRevision{"filbertmount_document_revision", "Revision of the document in force, by service"};
 inline constexpr MetricInfo Quarantined{"filbertmount_quarantined_total",
                                         "Requests refused because they crash upstreams, by service"};
+inline constexpr MetricInfo ZoneExits{"filbertmount_zone_exits_total",
+                                      "Attempts sent to another zone, by service, zones and reason"};
+inline constexpr MetricInfo ZoneExitBytes{"filbertmount_zone_exit_bytes_total",
+                                          "Bytes of requests and responses between zones, by service and zones"};
 inline constexpr MetricInfo Members{"filbertmount_members", "Entry instances seen alive"};
 } // namespace MetricNames
 
--- a/src/edge/callenvironment.h
+++ b/src/edge/callenvironment.h
@@ -6,6 +6,7 @@
 #include "edge/serversession.h"
 
 #include <filbertmount/edge/httpdialect.h>
+#include <filbertmount/edge/routesizes.h>
 #include <filbertmount/edge/routetimes.h>
 #include <filbertmount/quarantine/crashguard.h>
 #include <filbertmount/routing/router.h>
@@ -29,6 +30,7 @@
     CrashGuard &crashGuard;
     CrashCheck &crashCheck;
     RouteTimes &routeTimes;
+    RouteSizes &routeSizes;
     /** Limits the memory for responses of upstreams. */
     BufferBudget &responseBuffers;
     /** Called when another upstream responded at the address of the given one. */
--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -42,6 +42,7 @@
     m_routes = std::move(routes);
     m_splitSelector.retain(m_routes->routes());
     m_environment.routeTimes.retain(m_routes->routes());
+    m_environment.routeSizes.retain(m_routes->routes());
     m_mostUrgentRank.clear();
     for (const ForwardRoute &route : m_routes->routes().routes) {
         for (const ForwardTarget &target : route.targets) {
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -108,6 +108,15 @@
     return static_cast<std::size_t>(std::max(MinCallerSessions, settings.descriptors - ReservedDescriptors));
 }
 
+/** Nothing if the own zone is preferred by a constant. */
+std::optional<ZoneExitOptions> zoneExitOptions(const ZoneSettings &zones)
+{
+    if (!zones.crossingMsPerKilobyte) {
+        return std::nullopt;
+    }
+    return ZoneExitOptions{.msPerKilobyte = *zones.crossingMsPerKilobyte, .crossingMs = zones.crossingMs};
+}
+
 void logDeletion(const DeletionDecision &deletion)
 {
     const PossibleExpiry expiry = deletion.expiry.value_or(PossibleExpiry());
@@ -155,6 +164,7 @@
                     .crashGuard = m_crashGuard,
                     .crashCheck = m_crashCheck,
                     .routeTimes = m_routeTimes,
+                    .routeSizes = m_routeSizes,
                     .responseBuffers = m_responseBuffers,
                     .onWrongUpstream =
                         [this](const ServiceName &service, const UpstreamId &upstream) {
@@ -346,7 +356,9 @@
                                 .maxBurst = retryBurst(),
                                 .tokensPerSecond = retriesPerSecond()};
     for (const ServiceName &service : m_services) {
-        m_router.configure(service, {.retries = retries, .ownZoneAdvantage = m_settings.ownZoneAdvantage});
+        m_router.configure(
+            service,
+            {.retries = retries, .ownZoneAdvantage = m_settings.ownZoneAdvantage, .zoneExit = zoneExitOptions(m_settings.zones)});
     }
 }
 
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -73,6 +73,7 @@
     CrashHistorySync m_crashHistory;
     CrashCheck m_crashCheck;
     RouteTimes m_routeTimes;
+    RouteSizes m_routeSizes;
     BufferBudget m_responseBuffers;
     ProbeLoop m_probeLoop;
     CallEnvironment m_environment;
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -131,7 +131,8 @@
                                 .deadline = m_request.deadline,
                                 .objective = m_request.objective,
                                 .excluded = m_triedUpstreams,
-                                .isHedge = purpose == Purpose::Hedge},
+                                .isHedge = purpose == Purpose::Hedge,
+                                .expectedBytes = m_environment.routeSizes.expectedBytes(m_request.route->name)},
                                [self = shared_from_this(), ticket, purpose](PlacementResult result) {
                                    self->onPlacement(std::move(result), ticket, purpose);
                                });
--- a/src/edge/upstreamattempt.cpp
+++ b/src/edge/upstreamattempt.cpp
@@ -17,6 +17,17 @@
 // must not run twice therefore only use connections that were idle for a shorter time than this, or new ones.
 constexpr Duration MaxIdleTimeUnrepeatable = std::chrono::seconds(1);
 
+/** Size of a response as sent, without its status line. */
+std::size_t responseBytes(const ClientResponse &response)
+{
+    constexpr std::size_t separators = 4; // ": " and CRLF.
+    std::size_t bytes = response.body.size();
+    for (const Header &header : response.headers) {
+        bytes += header.name.size() + header.value.size() + separators;
+    }
+    return bytes;
+}
+
 } // namespace
 
 UpstreamAttempt::UpstreamAttempt(CallEnvironment &environment,
@@ -60,8 +71,11 @@
         onExchange({.end = ExchangeEnd::ConnectFailed, .reason = "not an IP address with a port: " + m_placement.address});
         return;
     }
+    std::string text = serializeRequest(left);
+    m_requestBytes = text.size();
+    countZoneExit();
     const std::string &idHeader = m_environment.dialect.requestId;
-    m_connection->exchange({.request = serializeRequest(left),
+    m_connection->exchange({.request = std::move(text),
                             .isHead = m_request.request.method == "HEAD",
                             .timeout = left,
                             .budget = &m_environment.responseBuffers,
@@ -154,6 +168,7 @@
                  .serviceTime = result.elapsed,
                  .pace = load ? load->pace : std::nullopt,
                  .signals = signals});
+    recordBytes(result.response, end);
     reportToCrashGuard(end);
     returnConnection(end, signals);
     logSignals(signals);
@@ -171,6 +186,33 @@
     }
 }
 
+void UpstreamAttempt::countZoneExit() const
+{
+    if (const std::optional<ZoneExit> &exit = m_placement.zoneExit) {
+        m_environment.metrics
+            .counter(MetricNames::ZoneExits,
+                     {{"service", m_request.service.value()},
+                      {"from", exit->from.value()},
+                      {"to", exit->to.value()},
+                      {"reason", std::string(zoneExitReasonName(exit->reason))}})
+            .Increment();
+    }
+}
+
+void UpstreamAttempt::recordBytes(const ClientResponse &response, AttemptEnd end) const
+{
+    const std::size_t bytes = m_requestBytes + responseBytes(response);
+    if (end == AttemptEnd::Responded) {
+        m_environment.routeSizes.record(m_request.route->name, bytes);
+    }
+    if (const std::optional<ZoneExit> &exit = m_placement.zoneExit) {
+        m_environment.metrics
+            .counter(MetricNames::ZoneExitBytes,
+                     {{"service", m_request.service.value()}, {"from", exit->from.value()}, {"to", exit->to.value()}})
+            .Increment(static_cast<double>(bytes));
+    }
+}
+
 void UpstreamAttempt::returnConnection(AttemptEnd end, const UpstreamSignals &signals)
 {
     if (!m_connection) {
--- a/src/edge/upstreamattempt.h
+++ b/src/edge/upstreamattempt.h
@@ -42,6 +42,10 @@
     [[nodiscard]] std::string serializeRequest(Duration timeLeft) const;
     /** Reports the end of the attempt to the crash guard; after a broken exchange, first checks whether the upstream crashed. */
     void reportToCrashGuard(AttemptEnd end);
+    /** Counts the attempt in the metrics if its upstream is in another zone. */
+    void countZoneExit() const;
+    /** Records the size of the exchange, also that of one that ended early. */
+    void recordBytes(const ClientResponse &response, AttemptEnd end) const;
     void releaseSlot(const AttemptReport &report);
     /** Keeps the connection for later requests, unless the upstream is draining. */
     void returnConnection(AttemptEnd end, const UpstreamSignals &signals);
@@ -57,6 +61,7 @@
     std::shared_ptr<ClientConnection> m_connection;
     Instant m_sentAt{};
     std::string m_loadHeader;
+    std::size_t m_requestBytes = 0;
 };
 
 } // namespace Filbertmount
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -74,9 +74,10 @@
         service.retryBudget.setMaxBurst(routing.retries.maxBurst);
         service.retryBudget.setTokensPerSecond(routing.retries.tokensPerSecond);
         service.hedgeBudget.setPercent(routing.hedging.budgetPercent);
-        service.router.setOptions(
-            {.coldStart = routing.coldStart},
-            {.queue = static_cast<std::size_t>(std::max(0, routing.limits.queue)), .ownZoneAdvantage = routing.ownZoneAdvantage});
+        service.router.setOptions({.coldStart = routing.coldStart},
+                                  {.queue = static_cast<std::size_t>(std::max(0, routing.limits.queue)),
+                                   .ownZoneAdvantage = routing.ownZoneAdvantage,
+                                   .zoneExit = routing.zoneExit});
         assignDispatcher(service, now(), effects);
     }
     runEffects(effects);
@@ -206,7 +207,8 @@
                         .timeLeft = query.deadline == Instant{} ? TimeLeftWithoutDeadline : query.deadline - time,
                         .objectiveLeft = query.objective ? std::optional(*query.objective - time) : std::nullopt,
                         .excluded = {},
-                        .isImmediate = query.isHedge};
+                        .isImmediate = query.isHedge,
+                        .expectedBytes = service.routing.zoneExit ? query.expectedBytes : 0};
     for (const UpstreamId &upstream : query.excluded) {
         if (const auto index = service.router.table().find(upstream.value())) {
             request.excluded.push_back(*index);
@@ -324,6 +326,18 @@
     runEffects(effects);
 }
 
+std::optional<ZoneExit> Router::zoneExitOf(const Service &service, const SlotPlacement &placement) const
+{
+    service.mutex.AssertHeld();
+    const AvailabilityZone &zone = service.router.table().upstream(placement.upstream).zone;
+    if (!service.routing.zoneExit || zone == m_options.zone) {
+        return std::nullopt;
+    }
+    return ZoneExit{.from = m_options.zone,
+                    .to = zone,
+                    .reason = placement.grant == NoGrant ? ZoneExitReason::LocalPlacement : placement.exitReason};
+}
+
 void Router::collectOutput(Service &service, DeferredEffects &effects)
 {
     service.mutex.AssertHeld();
@@ -358,7 +372,8 @@
                               .incarnation = upstream.incarnation,
                               .grant = isGranted ? placement.grant : 0,
                               .dispatcher = isGranted && dispatcher ? m_members.id(*dispatcher) : InstanceId(),
-                              .team = {}});
+                              .team = {},
+                              .zoneExit = zoneExitOf(service, placement)});
     }
     for (const SlotRefusal &refusal : service.output.decisions.refusals) {
         deferResult(refusal.request, PlacementRefusal{.reason = refusal.reason, .retryAfter = refusal.retryAfter});
--- a/src/routing/slotclient.cpp
+++ b/src/routing/slotclient.cpp
@@ -217,7 +217,8 @@
     recordResponse(pending->second, now);
     m_pending.erase(pending);
     ++m_grants;
-    beginAttempt({.request = grant.request, .upstream = grant.upstream, .grant = grant.grant}, decisions);
+    beginAttempt({.request = grant.request, .upstream = grant.upstream, .grant = grant.grant, .exitReason = grant.exitReason},
+                 decisions);
 }
 
 void SlotClient::recordResponse(const Pending &pending, Instant now)
--- a/src/routing/slotdispatcher.cpp
+++ b/src/routing/slotdispatcher.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Number of queued requests that may be skipped because they exclude all free upstreams.
-constexpr int ServeLookAhead = 8;
+constexpr std::size_t ServeLookAhead = 8;
 // Shorter announced waits would have to be renewed for most queued requests.
 constexpr Duration MinAnnouncedWait = std::chrono::milliseconds(20);
 // An announced wait is renewed this long before it ends, so that the message arrives in time.
@@ -30,6 +30,9 @@
 constexpr double MinFreeShareForHedges = 0.4;
 // Maximum number of overcommitted attempts per slot.
 constexpr double MaxOvercommitPerSlot = 0.5;
+// While more requests per slot wait, or more than the maximum, none waits for a slot of its own zone: all free slots are used.
+constexpr double HoldQueuePerSlot = 0.1;
+constexpr std::size_t MaxHeld = 16;
 
 } // namespace
 
@@ -37,6 +40,7 @@
     : m_table(table)
     , m_options(options)
     , m_queue(options.queue)
+    , m_zoneExit(options.zoneExit.value_or(ZoneExitOptions()))
     , m_overdueChecks(InitialCapacity)
 {
     m_grants.reserve(InitialCapacity);
@@ -46,6 +50,7 @@
 {
     m_options = options;
     m_queue.setCapacity(options.queue);
+    m_zoneExit.setOptions(options.zoneExit.value_or(ZoneExitOptions()));
 }
 
 void SlotDispatcher::start(std::span<const MemberIndex> members, Instant now)
@@ -93,17 +98,18 @@
         refuse(from, request.request, RefusalReason::QueueFull, outbox);
         return;
     }
-    const bool mayGrant = !isWaitingForReports(now) && m_queue.countAhead(request.priority, isLate(request)) == 0;
-    const UpstreamIndex upstream = mayGrant ? chooseUpstream(request) : SlotSelector::None;
-    if (upstream != SlotSelector::None) {
-        grant(from, request, upstream, now, outbox);
+    // Held requests wait for a slot of their own zone and do not keep later ones from other slots.
+    const bool isFirst = m_queue.countAhead(request.priority, isLate(request)) == 0 || m_queue.held() == m_queue.size();
+    const Choice choice = !isWaitingForReports(now) && isFirst ? chooseUpstream(request) : Choice();
+    if (choice.upstream != SlotSelector::None) {
+        grant(from, request, choice, now, outbox);
         return;
     }
     if (request.isImmediate) {
         refuse(from, request.request, RefusalReason::QueueFull, outbox);
         return;
     }
-    enqueue(from, request, now, outbox);
+    enqueue(from, request, choice.holdFor, now, outbox);
 }
 
 bool SlotDispatcher::hasSlotsForHedges() const
@@ -122,23 +128,85 @@
     return excluded < m_table.usableCount();
 }
 
+double SlotDispatcher::utilization() const
+{
+    return static_cast<double>(m_totalInFlight) / std::max(1, m_table.totalLimit());
+}
+
 double SlotDispatcher::ownZoneAdvantage() const
 {
-    const double utilization = static_cast<double>(m_totalInFlight) / std::max(1, m_table.totalLimit());
-    const double headroom = std::clamp(1 - utilization / OwnZoneUtilizationLimit, 0.0, 1.0);
+    const double headroom = std::clamp(1 - utilization() / OwnZoneUtilizationLimit, 0.0, 1.0);
     return 1 + (m_options.ownZoneAdvantage - 1) * headroom;
 }
 
-UpstreamIndex SlotDispatcher::chooseUpstream(const SlotRequest &request)
+SlotDispatcher::Choice SlotDispatcher::chooseUpstream(const SlotRequest &request)
 {
+    if (m_options.zoneExit) {
+        const std::size_t homeQueue = m_queue.countInZone(m_selector.zoneIndex(request.zone));
+        return chooseByCost(request, Duration::zero(), homeQueue, m_queue.size());
+    }
     m_selector.setOwnZoneAdvantage(ownZoneAdvantage());
     const UpstreamIndex free = m_selector.choose(SlotSelector::Slots::Free, request.zone, request.excluded, maxSlowness());
-    if (free != SlotSelector::None || !mayOvercommit()) {
-        return free;
+    return {.upstream = free != SlotSelector::None ? free : chooseOvercommitted(request)};
+}
+
+UpstreamIndex SlotDispatcher::chooseOvercommitted(const SlotRequest &request)
+{
+    if (!mayOvercommit()) {
+        return SlotSelector::None;
     }
     return m_selector.choose(SlotSelector::Slots::Overcommit, request.zone, request.excluded, UpstreamTable::StragglerSlowness);
 }
 
+SlotDispatcher::Choice
+SlotDispatcher::chooseByCost(const SlotRequest &request, Duration waited, std::size_t homeQueue, std::size_t queued)
+{
+    const std::span<const ZoneOffer> offers = m_selector.zoneOffers(request.excluded, maxSlowness());
+    const std::size_t home = m_selector.zoneIndex(request.zone);
+    const ZoneExitDecision decision = m_zoneExit.decide(
+        {.home = home,
+         .meanServiceTime = m_table.meanServiceTime(),
+         .utilization = utilization(),
+         .expectedBytes = request.expectedBytes,
+         .homeQueue = homeQueue,
+         .mayHold = !request.isImmediate && mayHold(queued),
+         .waited = waited,
+         .objectiveLeft = std::min(request.objectiveLeft.value_or(request.timeLeft), request.timeLeft) - waited},
+        offers);
+    switch (decision.action) {
+    case ZoneExitDecision::Action::Grant:
+        return {.upstream = offers[decision.zone].upstream, .exitReason = decision.reason};
+    case ZoneExitDecision::Action::Hold:
+        return {.holdFor = decision.holdFor};
+    case ZoneExitDecision::Action::None:
+        break;
+    }
+    m_selector.setOwnZoneAdvantage(1);
+    const UpstreamIndex upstream = chooseOvercommitted(request);
+    const bool leaves = upstream != SlotSelector::None && m_table.upstream(upstream).zone.value() != request.zone;
+    return {.upstream = upstream, .exitReason = leaves ? ZoneExitReason::HomeFull : ZoneExitReason::None};
+}
+
+SlotDispatcher::Choice SlotDispatcher::chooseForQueued(SlotQueue::Position position, std::size_t heldAhead, Instant now)
+{
+    SlotQueue::Entry &entry = m_queue[position];
+    if (!m_options.zoneExit) {
+        return chooseUpstream(entry.request);
+    }
+    const Choice choice = chooseByCost(entry.request, now - entry.arrival, heldAhead, m_queue.size() - 1);
+    if (choice.holdFor) {
+        m_queue.hold(position, now + *choice.holdFor);
+    } else {
+        m_queue.endHold(position);
+    }
+    return choice;
+}
+
+bool SlotDispatcher::mayHold(std::size_t queued) const
+{
+    return queued < MaxHeld && static_cast<double>(queued) <= std::max(1.0, HoldQueuePerSlot * m_table.totalLimit());
+}
+
 bool SlotDispatcher::mayOvercommit() const
 {
     const int total = m_table.totalLimit();
@@ -158,7 +226,11 @@
     return std::max(UpstreamTable::StragglerSlowness, 1.0 + queueTime);
 }
 
-void SlotDispatcher::enqueue(MemberIndex member, const SlotRequest &request, Instant now, SlotOutbox &outbox)
+void SlotDispatcher::enqueue(MemberIndex member,
+                             const SlotRequest &request,
+                             std::optional<Duration> holdFor,
+                             Instant now,
+                             SlotOutbox &outbox)
 {
     const bool isLateRequest = isLate(request);
     const std::size_t ahead = m_queue.countAhead(request.priority, isLateRequest);
@@ -183,8 +255,13 @@
                            .objective = request.objectiveLeft ? std::optional(now + *request.objectiveLeft) : std::nullopt,
                            .isLate = isLateRequest};
     entry.request.zone = m_selector.internedZone(request.zone);
+    const std::size_t zone = m_selector.zoneIndex(request.zone);
+    entry.zone = zone == ZoneExitQuery::UnknownZone ? 0 : zone;
     announceWait(entry, ahead, now, outbox);
-    m_queue.push(std::move(entry));
+    const SlotQueue::Position position = m_queue.push(std::move(entry));
+    if (holdFor) {
+        m_queue.hold(position, now + *holdFor);
+    }
 }
 
 bool SlotDispatcher::isLate(const SlotRequest &request) const
@@ -227,17 +304,19 @@
                       .message = SlotRefusal{.request = request, .reason = reason, .retryAfter = expectedWait(m_queue.size())}});
 }
 
-void SlotDispatcher::grant(MemberIndex member,
-                           const SlotRequest &request,
-                           UpstreamIndex upstream,
-                           Instant now,
-                           SlotOutbox &outbox)
+void SlotDispatcher::grant(MemberIndex member, const SlotRequest &request, const Choice &choice, Instant now, SlotOutbox &outbox)
 {
     const std::uint64_t number = ++m_lastGrant;
-    m_grants[number] = {.member = member, .upstream = upstream, .start = now};
-    addInFlight(upstream, 1);
+    m_grants[number] = {.member = member,
+                        .upstream = choice.upstream,
+                        .start = now,
+                        .zone = m_options.zoneExit ? m_selector.zoneIndex(request.zone) : ZoneExitQuery::UnknownZone};
+    addInFlight(choice.upstream, 1);
     scheduleOverdueCheck(number, now);
-    outbox.push_back({.peer = member, .message = SlotGrant{.request = request.request, .upstream = upstream, .grant = number}});
+    outbox.push_back(
+        {.peer = member,
+         .message = SlotGrant{
+             .request = request.request, .upstream = choice.upstream, .grant = number, .exitReason = choice.exitReason}});
 }
 
 void SlotDispatcher::handle(MemberIndex from, const SlotRelease &release, Instant now, SlotOutbox &outbox)
@@ -251,6 +330,7 @@
     }
     const auto found = m_grants.find(release.grant);
     if (found != m_grants.end() && found->second.member == from && found->second.upstream == release.upstream) {
+        recordExchange(found->second, release.report, now);
         m_grants.erase(found);
         addInFlight(release.upstream, -1);
     } else if (const auto reported = m_reportedAttempts.find({from, release.upstream}); reported != m_reportedAttempts.end()) {
@@ -265,6 +345,13 @@
     serveQueue(now, outbox);
 }
 
+void SlotDispatcher::recordExchange(const Grant &grant, const AttemptReport &report, Instant now)
+{
+    if (m_options.zoneExit && grant.member != SelfMember && report.outcome == AttemptOutcome::Success) {
+        m_zoneExit.recordExchange(grant.zone, now - grant.start - report.serviceTime);
+    }
+}
+
 void SlotDispatcher::handle(MemberIndex from, const InFlightReport &report, Instant now, SlotOutbox &outbox)
 {
     removeMemberCounts(from, report.lastGrant);
@@ -324,7 +411,8 @@
     // Requests without an objective are always served in the order of arrival.
     const SlotQueue::Position first = m_queue.front();
     m_queue.setNewestFirst(first != SlotQueue::None && m_queue[first].objective && isOverloaded());
-    int skipped = 0;
+    std::size_t skipped = 0;
+    std::size_t held = 0;
     for (auto position = m_queue.front(); position != SlotQueue::None && skipped < ServeLookAhead;) {
         const SlotQueue::Position following = m_queue.next(position);
         SlotQueue::Entry &entry = m_queue[position];
@@ -334,14 +422,14 @@
             position = following;
             continue;
         }
-        const UpstreamIndex upstream = chooseUpstream(entry.request);
-        if (upstream == SlotSelector::None && entry.request.excluded.empty()) {
+        const Choice choice = chooseForQueued(position, held, now);
+        if (choice.upstream == SlotSelector::None && entry.request.excluded.empty() && !choice.holdFor) {
             return;
         }
-        if (upstream == SlotSelector::None) {
-            ++skipped;
+        if (choice.upstream == SlotSelector::None) {
+            ++(choice.holdFor ? held : skipped);
         } else {
-            grant(entry.member, entry.request, upstream, now, outbox);
+            grant(entry.member, entry.request, choice, now, outbox);
             m_queue.remove(position);
         }
         position = following;
@@ -354,6 +442,7 @@
         return;
     }
     checkOverdueAttempts(now);
+    m_zoneExit.tick(now);
     serveQueue(now, outbox);
     expireAndReorderQueue(now, outbox);
 }
--- a/src/routing/slotqueue.cpp
+++ b/src/routing/slotqueue.cpp
@@ -67,6 +67,10 @@
         m_free.pop_back();
     }
     m_positions[{entry.member, entry.request.request}] = position;
+    if (entry.zone >= m_byZone.size()) {
+        m_byZone.resize(entry.zone + 1);
+    }
+    ++m_byZone[entry.zone];
     m_entries[position] = std::move(entry);
     link(position);
     return position;
@@ -75,7 +79,9 @@
 void SlotQueue::remove(Position position)
 {
     unlink(position);
+    endHold(position);
     const Entry &entry = m_entries[position];
+    --m_byZone[entry.zone];
     m_positions.erase({entry.member, entry.request.request});
     m_free.push_back(position);
 }
@@ -87,6 +93,28 @@
     link(position);
 }
 
+void SlotQueue::hold(Position position, Instant until)
+{
+    m_held += m_entries[position].heldUntil ? 0 : 1;
+    m_entries[position].heldUntil = until;
+}
+
+void SlotQueue::endHold(Position position)
+{
+    m_held -= m_entries[position].heldUntil ? 1 : 0;
+    m_entries[position].heldUntil.reset();
+}
+
+std::size_t SlotQueue::held() const
+{
+    return m_held;
+}
+
+std::size_t SlotQueue::countInZone(std::size_t zone) const
+{
+    return zone < m_byZone.size() ? m_byZone[zone] : 0;
+}
+
 void SlotQueue::setNewestFirst(bool isNewestFirst)
 {
     m_isNewestFirst = isNewestFirst;
--- a/src/routing/slotselector.cpp
+++ b/src/routing/slotselector.cpp
@@ -7,19 +7,14 @@
 
 namespace Filbertmount {
 
-namespace {
-
-// Concurrent requests on one machine slow each other down: service times are 1.7 times as long when it is nearly full, also
-// for the requests that already run there.
-constexpr double SlownessPerLoad = 1.5;
-
-} // namespace
-
 struct SlotSelector::Zone {
     std::string name;
     TournamentTree free;
     TournamentTree overcommit;
     std::vector<UpstreamIndex> upstreams;
+    int slots = 0;
+    int usable = 0;
+    double averageSlots = 0;
 };
 
 SlotSelector::SlotSelector() = default;
@@ -50,6 +45,7 @@
     }
     if (treePosition.isAssigned) {
         setKeys(treePosition, TournamentTree::Absent, TournamentTree::Absent);
+        setSlots(treePosition, 0, 1);
     }
     Zone &zone = zoneOf(zoneName);
     treePosition.zone = static_cast<std::size_t>(std::find_if(m_zones.begin(),
@@ -65,6 +61,17 @@
     zone.overcommit.resize(zone.upstreams.size());
 }
 
+void SlotSelector::setSlots(TreePosition &treePosition, int limit, double slowness)
+{
+    Zone &zone = *m_zones[treePosition.zone];
+    const double averageSlots = limit / slowness;
+    zone.slots += limit - treePosition.limit;
+    zone.usable += (limit > 0 ? 1 : 0) - (treePosition.limit > 0 ? 1 : 0);
+    zone.averageSlots += averageSlots - treePosition.averageSlots;
+    treePosition.limit = limit;
+    treePosition.averageSlots = averageSlots;
+}
+
 void SlotSelector::setKeys(const TreePosition &treePosition, double freeSlotKey, double overcommitKey)
 {
     ++m_keyChanges;
@@ -92,6 +99,7 @@
         treePosition.overcommitKey = slowness;
     }
     setKeys(treePosition, treePosition.freeSlotKey, treePosition.overcommitKey);
+    setSlots(treePosition, limit, slowness);
 }
 
 void SlotSelector::removeFromTrees(std::span<const UpstreamIndex> indices)
@@ -131,6 +139,34 @@
     return chosen;
 }
 
+std::span<const ZoneOffer> SlotSelector::zoneOffers(std::span<const UpstreamIndex> excluded, double maxSlowness)
+{
+    removeFromTrees(excluded);
+    m_offers.clear();
+    for (const auto &zone : m_zones) {
+        const std::size_t leaf = zone->free.best();
+        const double key = zone->free.key(leaf);
+        const bool isFree = key < maxSlowness * (1 + SlownessPerLoad);
+        m_offers.push_back({.bestKey = isFree ? key : TournamentTree::Absent,
+                            .upstream = isFree ? zone->upstreams[leaf] : None,
+                            .slots = zone->slots,
+                            .usable = zone->usable,
+                            .averageSlots = zone->averageSlots});
+    }
+    restoreToTrees(excluded);
+    return m_offers;
+}
+
+std::size_t SlotSelector::zoneIndex(std::string_view name) const
+{
+    for (std::size_t index = 0; index < m_zones.size(); ++index) {
+        if (m_zones[index]->name == name) {
+            return index;
+        }
+    }
+    return ZoneExitQuery::UnknownZone;
+}
+
 void SlotSelector::setOwnZoneAdvantage(double advantage)
 {
     m_ownZoneAdvantage = advantage;
--- a/src/routing/slotwire.cpp
+++ b/src/routing/slotwire.cpp
@@ -38,6 +38,7 @@
         }
         wire.set_zone(request.zone.data(), request.zone.size());
         wire.set_immediate(request.isImmediate);
+        wire.set_expected_bytes(request.expectedBytes);
         for (const UpstreamIndex index : request.excluded) {
             wire.add_excluded(m_table.upstream(index).id.value());
         }
@@ -50,6 +51,7 @@
         wire.set_request(grant.request);
         wire.set_upstream(m_table.upstream(grant.upstream).id.value());
         wire.set_grant(grant.grant);
+        wire.set_exit_reason(static_cast<std::uint32_t>(grant.exitReason));
     }
 
     void operator()(const SlotQueued &queued)
@@ -116,7 +118,8 @@
                             wire.has_objective_us() ? std::optional(fromMicroseconds(wire.objective_us())) : std::nullopt,
                         .zone = wire.zone(),
                         .excluded = {},
-                        .isImmediate = wire.immediate()};
+                        .isImmediate = wire.immediate(),
+                        .expectedBytes = wire.expected_bytes()};
     for (const std::string &id : wire.excluded()) {
         if (const auto index = table.find(id)) {
             request.excluded.push_back(*index);
@@ -125,10 +128,18 @@
     return SlotMessage(std::move(request));
 }
 
+/** A reason that a later version added is read as unknown. */
+ZoneExitReason readExitReason(const Wire::SlotGrant &wire)
+{
+    const bool isKnown = wire.exit_reason() <= static_cast<std::uint32_t>(ZoneExitReason::NoHomeUpstream);
+    return isKnown ? static_cast<ZoneExitReason>(wire.exit_reason()) : ZoneExitReason::None;
+}
+
 ReceivedSlotMessage read(const Wire::SlotGrant &wire, const UpstreamTable &table)
 {
     const auto index = table.find(wire.upstream());
-    const SlotGrant grant{.request = wire.request(), .upstream = index.value_or(0), .grant = wire.grant()};
+    const SlotGrant grant{
+        .request = wire.request(), .upstream = index.value_or(0), .grant = wire.grant(), .exitReason = readExitReason(wire)};
     if (wire.grant() == 0 || wire.grant() == NoGrant) {
         return std::monostate();
     }
--- a/tests/support/callfixture.h
+++ b/tests/support/callfixture.h
@@ -75,6 +75,7 @@
                       .crashGuard = crashGuard,
                       .crashCheck = crashCheck,
                       .routeTimes = routeTimes,
+                      .routeSizes = routeSizes,
                       .responseBuffers = responseBuffers,
                       .onWrongUpstream = [this](const ServiceName & /*service*/, const UpstreamId &upstream) {
                           wrongUpstreams.push_back(upstream);
@@ -192,6 +193,7 @@
     CrashGuard crashGuard;
     CrashCheck crashCheck;
     RouteTimes routeTimes;
+    RouteSizes routeSizes;
     BufferBudget responseBuffers{std::size_t{1} << 20U};
     CallEnvironment environment;
     std::vector<std::unique_ptr<ScriptedServer>> servers;
