--- a/bench/busyrouter.h
+++ b/bench/busyrouter.h
@@ -2,6 +2,7 @@
 
 #include <filbertmount/routing/servicerouter.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,8 +12,8 @@
 class BusyRouter
 {
 public:
-    explicit BusyRouter(int upstreams)
-        : m_router({})
+    explicit BusyRouter(int upstreams, std::optional<ZoneExitOptions> zoneExit = std::nullopt)
+        : m_router({.dispatcher = {.zoneExit = zoneExit}, .client = {.zone = AvailabilityZone("zone-0")}})
     {
         std::vector<RoutedUpstream> list;
         list.reserve(static_cast<std::size_t>(upstreams));
