--- a/include/filbertmount/telemetry/metrics.h
+++ b/include/filbertmount/telemetry/metrics.h
@@ -47,6 +47,10 @@
                                           "1 while this instance sends no requests to the zone's upstreams, by zone"};
 inline constexpr MetricInfo WarmupChanges{"filbertmount_warmup_changes_total",
                                           "Upstreams that turned cold or warm, by service, state and reason"};
+inline constexpr MetricInfo ZoneExits{"filbertmount_zone_exits_total",
+                                      "Attempts sent to another zone, by service, zones and reason"};
+inline constexpr MetricInfo ZoneExitBytes{"filbertmount_zone_exit_bytes_total",
+                                          "Bytes of requests and responses between zones, by service and zones"};
 inline constexpr MetricInfo Members{"filbertmount_members", "Entry instances seen alive"};
 inline constexpr MetricInfo QuotaDecisions{"filbertmount_quota_decisions_total",
                                            "Requests of accounts with a limit, by outcome of the quota"};
--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -59,6 +59,7 @@
     m_routes = std::move(routes);
     m_splitSelector.retain(m_routes->routes());
     m_environment.routeTimes.retain(m_routes->routes());
+    m_environment.routeSizes.retain(m_routes->routes());
     m_ranks = RequestRanks(m_routes->routes());
     m_authenticator.forgetRefusals();
 }
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -108,6 +108,15 @@
     return static_cast<std::size_t>(std::max(MinCallerSessions, settings.descriptors - ReservedDescriptors));
 }
 
+/** Nothing if the own zone is preferred by a constant. */
+std::optional<ZoneExitOptions> zoneExitOptions(const ZoneSettings &zones)
+{
+    if (!zones.crossingMsPerKilobyte) {
+        return std::nullopt;
+    }
+    return ZoneExitOptions{.msPerKilobyte = *zones.crossingMsPerKilobyte, .crossingMs = zones.crossingMs};
+}
+
 void logDeletion(const DeletionDecision &deletion)
 {
     const PossibleExpiry expiry = deletion.expiry.value_or(PossibleExpiry());
@@ -166,6 +175,7 @@
                     .crashGuard = m_crashGuard,
                     .crashCheck = m_crashCheck,
                     .routeTimes = m_routeTimes,
+                    .routeSizes = m_routeSizes,
                     .responseBuffers = m_responseBuffers,
                     .onWrongUpstream =
                         [this](const ServiceName &service, const UpstreamId &upstream) {
@@ -386,9 +396,11 @@
                                 .maxBurst = retryBurst(),
                                 .tokensPerSecond = retriesPerSecond()};
     for (const ServiceAccess &service : m_services) {
-        m_router.configure(
-            service.name,
-            {.retries = retries, .ownZoneAdvantage = m_settings.ownZoneAdvantage, .warmup = warmupOptions(service)});
+        m_router.configure(service.name,
+                           {.retries = retries,
+                            .ownZoneAdvantage = m_settings.ownZoneAdvantage,
+                            .warmup = warmupOptions(service),
+                            .zoneExit = zoneExitOptions(m_settings.zones)});
     }
 }
 
--- a/tests/routing/warmuplimitertest.cpp
+++ b/tests/routing/warmuplimitertest.cpp
@@ -174,7 +174,8 @@
 
     void request(std::uint64_t number, Duration timeLeft, Priority priority = Priority::Interactive)
     {
-        dispatcher.handle(1, SlotRequest{.request = number, .priority = priority, .timeLeft = timeLeft}, now, outbox);
+        dispatcher.handle(
+            1, SlotRequest{.request = number, .rank = static_cast<std::uint8_t>(priority), .timeLeft = timeLeft}, now, outbox);
     }
 
     void run(Duration duration)
