--- a/include/filbertmount/accounts/quotaelection.h
+++ b/include/filbertmount/accounts/quotaelection.h
@@ -56,11 +56,12 @@
     [[nodiscard]] bool isLeading() const;
 
 private:
-    /** A list of owners that was in force from a point in time. */
+    /** A list of owners that was in force from a point in time, or that may have been if it was not settled here. */
     struct Term {
         QuotaOwnerList owners;
         Instant since;
         bool hasBonus = false;
+        bool isSettled = true;
     };
     struct SentVote {
         std::uint64_t round = 0;
@@ -83,6 +84,8 @@
     /** Answers a poll; returns nothing when another leader has the promise of this instance. */
     std::optional<Wire::QuotaVote> answer(const InstanceId &from, const Wire::QuotaPoll &poll, Instant now);
     void applyPoll(const Wire::QuotaPoll &poll, Instant now);
+    void adoptOwners(const Wire::QuotaPoll &poll, Instant now);
+    void beginTerm(Term term);
     [[nodiscard]] bool yieldsTo(const InstanceId &other, const Wire::QuotaPoll &poll, Instant now) const;
     void stopLeading(PeerOutbox &outbox);
     void updateOwners(Instant now);
--- a/src/accounts/quotaelection.cpp
+++ b/src/accounts/quotaelection.cpp
@@ -72,7 +72,7 @@
     }
     std::optional<Instant> since;
     for (auto term = m_terms.rbegin(); term != m_terms.rend() && isOwner(term->owners); ++term) {
-        since = term->since;
+        since = term->isSettled ? std::optional(term->since) : since;
     }
     return since;
 }
@@ -379,12 +379,7 @@
 void QuotaElection::applyPoll(const Wire::QuotaPoll &poll, Instant now)
 {
     if (poll.epoch() > m_owners.epoch() && poll.owners_size() > 0) {
-        std::vector<InstanceId> owners;
-        for (const std::string &owner : poll.owners()) {
-            owners.emplace_back(owner);
-        }
-        m_owners = QuotaOwnerList(poll.epoch(), std::move(owners));
-        m_highestEpoch = std::max(m_highestEpoch, poll.epoch());
+        adoptOwners(poll, now);
     }
     const auto vote = std::find_if(m_sentVotes.begin(), m_sentVotes.end(), [&](const SentVote &sent) {
         return sent.round == poll.acknowledged();
@@ -403,10 +398,29 @@
         // An owner that could not grant for a while gets the margin of a change only once.
         const bool hasBonus = poll.bonus() && m_grantShare == FullShare && m_lastBonusEpoch != poll.epoch();
         m_lastBonusEpoch = poll.bonus() ? poll.epoch() : m_lastBonusEpoch;
-        m_terms.push_back({.owners = m_owners, .since = now, .hasBonus = hasBonus});
-        if (m_terms.size() > MaxTerms) {
-            m_terms.pop_front();
-        }
+        beginTerm({.owners = m_owners, .since = now, .hasBonus = hasBonus});
+    }
+}
+
+void QuotaElection::adoptOwners(const Wire::QuotaPoll &poll, Instant now)
+{
+    if (!m_terms.empty() && m_terms.back().owners.epoch() != m_owners.epoch()) {
+        // Others may have owned accounts under the previous list: the poll that states that it is settled may be lost.
+        beginTerm({.owners = m_owners, .since = now, .isSettled = false});
+    }
+    std::vector<InstanceId> owners;
+    for (const std::string &owner : poll.owners()) {
+        owners.emplace_back(owner);
+    }
+    m_owners = QuotaOwnerList(poll.epoch(), std::move(owners));
+    m_highestEpoch = std::max(m_highestEpoch, poll.epoch());
+}
+
+void QuotaElection::beginTerm(Term term)
+{
+    m_terms.push_back(std::move(term));
+    if (m_terms.size() > MaxTerms) {
+        m_terms.pop_front();
     }
 }
 
--- a/tests/accounts/quotaelectiontest.cpp
+++ b/tests/accounts/quotaelectiontest.cpp
@@ -93,3 +93,37 @@
     // Guards against a fleet without any owners.
     CHECK(granting * 4 > samples);
 }
+
+TEST_CASE("an owner that left a list and returned grants nothing until the list is settled")
+{
+    const InstanceId self("self");
+    const InstanceId leader("leader");
+    Instant now = Instant() + seconds(100);
+    QuotaElection election(self, {}, now);
+    now += seconds(1);
+    std::uint64_t round = 0;
+    const auto poll = [&](std::uint64_t epoch, const std::vector<std::string> &owners, bool isSettled) {
+        Wire::QuotaPoll message;
+        message.set_acknowledged(round);
+        message.set_round(++round);
+        message.set_epoch(epoch);
+        message.set_settled(isSettled);
+        message.set_share(1000);
+        for (const std::string &owner : owners) {
+            message.add_owners(owner);
+        }
+        PeerOutbox outbox;
+        now += milliseconds(10);
+        election.onPoll(leader, message, now, outbox);
+        return election.responsibleSince(stableHash("a"), now);
+    };
+    CHECK_FALSE(poll(1, {"self"}, false));
+    const std::optional<Instant> first = poll(1, {"self"}, true);
+    REQUIRE(first);
+    CHECK_FALSE(poll(2, {"leader"}, false));
+    // The message that states that list 2 is settled is lost: the leader may own the account meanwhile.
+    CHECK_FALSE(poll(3, {"self"}, false));
+    const std::optional<Instant> again = poll(3, {"self"}, true);
+    REQUIRE(again);
+    CHECK(*again > *first);
+}
