--- a/include/filbertmount/accounts/quotaclient.h
+++ b/include/filbertmount/accounts/quotaclient.h
@@ -183,6 +183,8 @@
     void checkAnswer(const InstanceId &owner, Exchange &exchange, Instant now, PeerOutbox &outbox);
     void abandonRequest(Exchange &exchange);
     void removeUnused(Instant now);
+    /** Lets requests wait longer for a while, because an owner has failed or changed. */
+    void expectOutage(Instant now);
     /** Longest wait of a request for which no token is available. */
     [[nodiscard]] Duration longestWait(Instant now) const;
     [[nodiscard]] std::uint32_t prefetchFor(const Account &account, Instant now) const;
