--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -230,12 +230,12 @@
 
 std::shared_ptr<ActiveRequest> CallerHandler::startCall(RoutedRequest request, ResponseHandler respond)
 {
-    if (request.account != nullptr) {
-        m_accountMetrics.count(request.account->name, AccountRequest::Admitted);
-    }
     if (request.account != nullptr && request.account->rate > 0 && m_environment.quotas != nullptr) {
         return startCallWithQuota(std::move(request), std::move(respond));
     }
+    if (request.account != nullptr) {
+        m_accountMetrics.count(request.account->name, AccountRequest::Admitted);
+    }
     auto call = std::make_shared<ForwardedCall>(m_environment, std::move(request), std::move(respond));
     call->start();
     return call;
@@ -252,7 +252,10 @@
         m_accountMetrics.count(name, response.status == TooManyRequests ? AccountRequest::OverQuota : AccountRequest::Refused);
         respondDirectly(refused, handler, std::move(response), reason);
     };
-    return startWithQuota(m_environment, std::move(limited), std::move(request), std::move(respond), refuse);
+    const auto onAdmitted = [this, name = account.name] {
+        m_accountMetrics.count(name, AccountRequest::Admitted);
+    };
+    return startWithQuota(m_environment, std::move(limited), std::move(request), std::move(respond), refuse, onAdmitted);
 }
 
 void CallerHandler::respondDirectly(const ServerRequest &request,
--- a/src/edge/quotaadmission.cpp
+++ b/src/edge/quotaadmission.cpp
@@ -28,12 +28,14 @@
                    QuotaAccount account,
                    RoutedRequest request,
                    ResponseHandler respond,
-                   RefusalHandler refuse)
+                   RefusalHandler refuse,
+                   std::function<void()> onAdmitted)
         : m_environment(environment)
         , m_account(std::move(account))
         , m_request(std::move(request))
         , m_respond(std::move(respond))
         , m_refuse(std::move(refuse))
+        , m_onAdmitted(std::move(onAdmitted))
     {
     }
 
@@ -86,6 +88,9 @@
                      quotaRefusalReason(m_account, decision, m_request.routes->version()));
             return;
         }
+        if (m_onAdmitted) {
+            m_onAdmitted();
+        }
         ResponseHandler respond = [&environment = m_environment,
                                    account = m_account.name,
                                    token = decision.token,
@@ -105,6 +110,7 @@
     RoutedRequest m_request;
     ResponseHandler m_respond;
     RefusalHandler m_refuse;
+    std::function<void()> m_onAdmitted;
     std::uint64_t m_waiter = 0;
     std::shared_ptr<ActiveRequest> m_call;
 };
@@ -132,10 +138,11 @@
                                               QuotaAccount account,
                                               RoutedRequest request,
                                               ResponseHandler respond,
-                                              RefusalHandler refuse)
+                                              RefusalHandler refuse,
+                                              std::function<void()> onAdmitted)
 {
     return std::make_shared<QuotaAdmission>(
-               environment, std::move(account), std::move(request), std::move(respond), std::move(refuse))
+               environment, std::move(account), std::move(request), std::move(respond), std::move(refuse), std::move(onAdmitted))
         ->start();
 }
 
--- a/src/edge/quotaadmission.h
+++ b/src/edge/quotaadmission.h
@@ -23,7 +23,8 @@
 
 /**
  * Starts a ForwardedCall once its account has a token. Passes @p refuse the response and the reason of a refusal, together with
- * the request. The token is returned if the response states that the request was not executed.
+ * the request; calls @p onAdmitted before the request is forwarded. The token is returned if the response states that the request
+ * was not executed.
  *
  * @return the request in progress, or null when it has been refused already
  */
@@ -32,6 +33,7 @@
                QuotaAccount account,
                RoutedRequest request,
                ResponseHandler respond,
-               std::function<void(const ServerRequest &, ResponseHandler &, ServerResponse, const std::string &)> refuse);
+               std::function<void(const ServerRequest &, ResponseHandler &, ServerResponse, const std::string &)> refuse,
+               std::function<void()> onAdmitted = {});
 
 } // namespace Filbertmount
--- a/tests/routing/slotdispatchertest.cpp
+++ b/tests/routing/slotdispatchertest.cpp
@@ -381,3 +381,34 @@
     REQUIRE_FALSE(granted.empty());
     CHECK(granted[0].second.request == 3);
 }
+
+TEST_CASE("slot dispatcher: a request that excludes the free upstreams does not keep those of other flows waiting")
+{
+    constexpr int upstreamCount = 20; // So many that three waiting requests do not overcommit any of them.
+    Fixture fixture(upstreamCount, 1, 8);
+    for (std::uint64_t request = 1; request <= upstreamCount; ++request) {
+        fixture.requestSlot(1, request);
+    }
+    const auto granted = fixture.takeMessages<SlotGrant>();
+    REQUIRE(granted.size() == upstreamCount);
+    const SlotGrant first = granted[0].second;
+    const SlotGrant second = granted[1].second;
+    const auto enqueue = [&](std::uint64_t request, FlowId flow, absl::InlinedVector<UpstreamIndex, 2> excluded) {
+        fixture.dispatcher.handle(2,
+                                  SlotRequest{.request = request, .flow = flow, .timeLeft = 10s, .excluded = std::move(excluded)},
+                                  Start,
+                                  fixture.outbox);
+    };
+    enqueue(101, FlowId(2), {});
+    enqueue(102, FlowId(2), {});
+    enqueue(103, FlowId(1), {first.upstream});
+    fixture.release(1, second);
+    auto served = fixture.takeMessages<SlotGrant>();
+    REQUIRE(served.size() == 1);
+    CHECK(served[0].second.request == 101);
+    // The turn is that of the other flow, whose request excludes the upstream.
+    fixture.release(1, first);
+    served = fixture.takeMessages<SlotGrant>();
+    REQUIRE(served.size() == 1);
+    CHECK(served[0].second.request == 102);
+}
