Compare refusals of small accounts with those of a single bucket

Cause: the test of small accounts judged 1 refusal among 118 requests, too few to tell 1 in 100, and counted refusals that are right because random arrivals exceed the burst. Change: 20 accounts instead of one, and the limit of 1 in 100 applies to refusals beyond those of one full bucket for all instances.

--- a/tests/accounts/quotafleettest.cpp
+++ b/tests/accounts/quotafleettest.cpp
@@ -34,10 +34,11 @@
     std::size_t instances;
     QuotaLimit limit;
     double perSecond;
+    int accounts = 1;
 };
 
 const LoadCase LoadCases[] = {
-    {"a small account", 14, {.ratePerSecond = 1, .burst = 5}, 0.6},
+    {"a small account", 14, {.ratePerSecond = 1, .burst = 5}, 0.6, 20},
     {"a medium account", 14, {.ratePerSecond = 20, .burst = 20}, 16},
     {"a large account", 14, {.ratePerSecond = 150, .burst = 100}, 130},
     {"a large account in a large fleet", 135, {.ratePerSecond = 150, .burst = 100}, 130},
@@ -49,34 +50,44 @@
 {
     for (const LoadCase &load : LoadCases) {
         CAPTURE(load.name);
+        // Random arrivals exceed the burst of a small account now and then; these refusals are right.
+        std::size_t ideal = 0;
         Share steady;
         Share failed;
         for (std::uint64_t seed = 1; seed <= 10; ++seed) {
             QuotaFleet fleet(load.instances, {.seed = seed, .loss = 0.001});
-            fleet.addLoad({.limit = load.limit, .perSecond = load.perSecond});
+            for (int index = 0; index < load.accounts; ++index) {
+                fleet.addLoad({.account = "a" + std::to_string(index), .limit = load.limit, .perSecond = load.perSecond});
+            }
             fleet.net.runFor(StartTime);
             const Instant start = fleet.net.now();
             fleet.net.runFor(seconds(20));
             const Instant failure = fleet.net.now();
-            fleet.kill(fleet.ownerOf("a"));
+            fleet.kill(fleet.ownerOf("a0"));
             fleet.net.runFor(seconds(4));
-            const Share before = refusedBetween(fleet.tally(), start, failure);
-            const Share after = refusedBetween(fleet.tally(), failure, failure + seconds(2));
-            steady.refused += before.refused;
-            steady.answered += before.answered;
-            failed.refused += after.refused;
-            failed.answered += after.answered;
+            for (int index = 0; index < load.accounts; ++index) {
+                const QuotaTally &tally = fleet.tally(static_cast<std::size_t>(index));
+                const Share before = refusedBetween(tally, start, failure);
+                const Share after = refusedBetween(tally, failure, failure + seconds(2));
+                ideal += countBetween(tally.refusedByIdeal, start, failure);
+                steady.refused += before.refused;
+                steady.answered += before.answered;
+                failed.refused += after.refused;
+                failed.answered += after.answered;
+            }
         }
         MESSAGE(std::string(load.name),
                 ": steady ",
                 steady.refused,
                 "/",
                 steady.answered,
+                ", of an ideal bucket ",
+                ideal,
                 ", failed ",
                 failed.refused,
                 "/",
                 failed.answered);
-        CHECK(steady.value() <= 0.01);
+        CHECK(steady.value() <= 0.01 + static_cast<double>(ideal) / static_cast<double>(steady.answered));
         CHECK(failed.value() <= 0.05);
     }
 }
--- a/tests/support/quotafleet.h
+++ b/tests/support/quotafleet.h
@@ -27,6 +27,10 @@
     std::vector<Instant> granted;
     std::vector<Instant> refused;
     std::vector<Instant> unavailable;
+    /** Arrivals that a single bucket over all instances, full at the start, would refuse. */
+    std::vector<Instant> refusedByIdeal;
+    double idealTokens = -1;
+    Instant idealAt;
 
     [[nodiscard]] std::size_t answered() const
     {
@@ -315,8 +319,24 @@
         });
     }
 
+    void recordIdeal(std::size_t load)
+    {
+        QuotaTally &tally = m_tallies[load];
+        const QuotaLimit &limit = m_loads[load].limit;
+        const double elapsed = std::chrono::duration<double>(net.now() - tally.idealAt).count();
+        const double filled = tally.idealTokens < 0 ? limit.burst : tally.idealTokens + elapsed * limit.ratePerSecond;
+        tally.idealTokens = std::min(limit.burst, filled);
+        tally.idealAt = net.now();
+        if (tally.idealTokens >= 1) {
+            tally.idealTokens -= 1;
+        } else {
+            tally.refusedByIdeal.push_back(net.now());
+        }
+    }
+
     void arrive(std::size_t load)
     {
+        recordIdeal(load);
         const QuotaLoad &info = m_loads[load];
         std::discrete_distribution<std::size_t> choice(m_weights.begin(), m_weights.end());
         // Callers reconnect when their instance has ended or does not respond.
