--- a/bench/zones.cpp
+++ b/bench/zones.cpp
@@ -67,6 +67,7 @@
         , m_random(seed)
     {
         std::vector<RoutedUpstream> list;
+        list.reserve(static_cast<std::size_t>(Zones) * UpstreamsPerZone);
         for (int index = 0; index < Zones * UpstreamsPerZone; ++index) {
             list.push_back({.id = UpstreamId(std::to_string(index)),
                             .address = {},
--- a/include/filbertmount/accounts/quotatypes.h
+++ b/include/filbertmount/accounts/quotatypes.h
@@ -32,11 +32,11 @@
     /** Age up to which the owner takes back a granted token without counting it against the margin. */
     Duration returnTime = std::chrono::milliseconds(300);
     /** Interval at which the leader renews promises and owners. */
-    Duration pollInterval = std::chrono::milliseconds(250);
+    Duration pollInterval = std::chrono::milliseconds(150);
     /** Time for which an instance follows the leader after its last poll. */
-    Duration promiseTime = std::chrono::milliseconds(600);
+    Duration promiseTime = std::chrono::milliseconds(350);
     /** Time for which an owner may grant after a vote that the leader received. */
-    Duration ownerTime = std::chrono::milliseconds(950);
+    Duration ownerTime = std::chrono::milliseconds(550);
     /** Longest wait for the next token of an account that is below its rate on average. */
     Duration tokenWait = std::chrono::milliseconds(100);
     /** Longest wait for an owner when the previous one has failed. */
--- a/src/routing/slotselector.cpp
+++ b/src/routing/slotselector.cpp
@@ -148,12 +148,16 @@
     for (const auto &zone : m_zones) {
         const std::size_t leaf = zone->free.best();
         const double key = zone->free.key(leaf);
-        const bool isFree = key < maxSlowness * (1 + SlownessPerLoad);
-        m_offers.push_back({.bestKey = isFree ? key : TournamentTree::Absent,
-                            .upstream = isFree ? zone->upstreams[leaf] : None,
-                            .slots = zone->slots,
-                            .usable = zone->usable,
-                            .averageSlots = zone->averageSlots});
+        ZoneOffer &offer = m_offers.emplace_back();
+        offer.slots = zone->slots;
+        offer.usable = zone->usable;
+        offer.averageSlots = zone->averageSlots;
+        offer.bestKey = TournamentTree::Absent;
+        offer.upstream = None;
+        if (key < maxSlowness * (1 + SlownessPerLoad)) {
+            offer.bestKey = key;
+            offer.upstream = zone->upstreams[leaf];
+        }
     }
     restoreToTrees(excluded);
     return m_offers;
