Reserve vectors and name loop variables in tests, for the linter

Change: capacities are reserved; a table row has a struct in place of a structured binding that a lambda captures. No check changes.

--- a/tests/edge/evacuationtabletest.cpp
+++ b/tests/edge/evacuationtabletest.cpp
@@ -36,6 +36,7 @@
 std::vector<StateChange> overTheWire(const std::vector<StateChange> &changes)
 {
     std::vector<StateChange> received;
+    received.reserve(changes.size());
     for (const StateChange &change : changes) {
         received.push_back(fromWire(toWire(change), StateKind::Evacuations).value());
     }
--- a/tests/routing/crosszonetest.cpp
+++ b/tests/routing/crosszonetest.cpp
@@ -22,6 +22,7 @@
         : dispatcher(table, {.queue = 200, .zoneExit = options})
     {
         std::vector<RoutedUpstream> list;
+        list.reserve(2 * static_cast<std::size_t>(perZone));
         for (int index = 0; index < 2 * perZone; ++index) {
             list.push_back({.id = UpstreamId("u" + std::to_string(index)),
                             .address = {},
--- a/tests/routing/warmupfleettest.cpp
+++ b/tests/routing/warmupfleettest.cpp
@@ -319,7 +319,13 @@
 
 TEST_CASE("warm-up: in each failure, the requests of all instances to a cold upstream stay within the bound of any second")
 {
-    for (const auto &[instances, rate] : {std::pair{135, 5.0}, std::pair{14, 5.0}, std::pair{135, 60.0}, std::pair{1, 5.0}}) {
+    struct Fleet {
+        int instances;
+        double rate;
+    };
+    for (const Fleet &size : {Fleet{135, 5}, Fleet{14, 5}, Fleet{135, 60}, Fleet{1, 5}}) {
+        const int instances = size.instances;
+        const double rate = size.rate;
         for (const Case &row : cases()) {
             if (instances == 1 && &row > &cases()[1]) {
                 continue;
--- a/tests/routing/warmuplimitertest.cpp
+++ b/tests/routing/warmuplimitertest.cpp
@@ -164,6 +164,7 @@
         , dispatcher(table, {.queue = 100})
     {
         std::vector<RoutedUpstream> list;
+        list.reserve(static_cast<std::size_t>(count));
         for (int index = 0; index < count; ++index) {
             list.push_back({.id = UpstreamId("u" + std::to_string(index)), .slots = 16, .warmupLeft = 8s});
         }
