Reword six comments of the new parts

Cause: comments speak of hearing, telling and nobody where the field has plainer words. Change: comments only.

--- a/include/filbertmount/accounts/authenticator.h
+++ b/include/filbertmount/accounts/authenticator.h
@@ -55,8 +55,8 @@
     /** Name of the header with the key. */
     std::string keyHeader;
     /**
-     * A key is refused only if the store has confirmed the configuration within this time. A reader hears from the store every
-     * 700 ms and passes this on within some milliseconds.
+     * A key is refused only if the store has confirmed the configuration within this time. The store responds to a reader
+     * every 700 ms, which passes this on within some milliseconds.
      */
     Duration maxConfirmationAge = std::chrono::milliseconds(1000);
     /** Longest wait of a request with an unknown key for a newer configuration, which usually arrives within 200 ms. */
--- a/include/filbertmount/edge/evacuationstart.h
+++ b/include/filbertmount/edge/evacuationstart.h
@@ -10,7 +10,7 @@
  * Decides whether an instance that has just started may forward requests without knowing the evacuations of zones. Sans-I/O.
  *
  * It waits for them, because its first requests would reach upstreams of an evacuated zone otherwise, but not for ever: during an
- * outage of the store, or next to instances of an earlier version, nobody may know them.
+ * outage of the store, or next to instances of an earlier version, no instance may know them.
  */
 class EvacuationStart
 {
--- a/include/filbertmount/routing/placement.h
+++ b/include/filbertmount/routing/placement.h
@@ -16,7 +16,7 @@
 
 namespace Filbertmount {
 
-/** Number of ranks that the queue of a dispatcher tells apart. */
+/** Number of ranks that the queue of a dispatcher distinguishes. */
 inline constexpr std::size_t QueueRanks = 8;
 
 /** Requests that take turns with those of other flows, for example the requests of one client account. */
--- a/include/filbertmount/routing/upstreamtable.h
+++ b/include/filbertmount/routing/upstreamtable.h
@@ -71,8 +71,8 @@
     [[nodiscard]] bool hasEvacuated() const;
     /**
      * Time after which a refused request should be repeated while all upstreams are evacuated, or nothing if some are listed.
-     * Nobody announces the end of an evacuation. Asking callers to wait as long as it has lasted so far, within bounds, at most
-     * doubles their wait and spreads their return.
+     * The end of an evacuation is not known in advance. Asking callers to wait as long as it has lasted so far, within bounds, at
+     * most doubles their wait and spreads their return.
      */
     [[nodiscard]] std::optional<Duration> evacuationRetryAfter(Instant now) const;
     /** The upstream stated in a response that it is draining; until its next incarnation, it accepts no attempts. */
--- a/src/edge/statewire.cpp
+++ b/src/edge/statewire.cpp
@@ -105,7 +105,7 @@
     account.keyDigests.reserve(static_cast<std::size_t>(wire.key_digests_size()));
     for (const std::string &bytes : wire.key_digests()) {
         Sha256Digest digest{};
-        // No key has a digest of another length, so such bytes admit nobody.
+        // No key has a digest of another length, so such bytes admit no request.
         if (bytes.size() == digest.size()) {
             std::copy(bytes.begin(), bytes.end(), digest.begin());
             account.keyDigests.push_back(digest);
--- a/src/routing/upstreamtable.cpp
+++ b/src/routing/upstreamtable.cpp
@@ -35,7 +35,7 @@
 // Cold starts, ejections and decaying averages are updated at this interval, which bounds the work of a tick.
 constexpr Duration StateUpdateInterval = std::chrono::milliseconds(100);
 
-// Before the first second, the elapsed time says nothing about the length of an evacuation. The end takes up to 5 s to be known
+// Before the first second, the elapsed time is no estimate of the length of an evacuation. The end takes up to 5 s to be known
 // everywhere, so that callers who wait longer would miss it by more than that.
 constexpr Duration MinEvacuationRetryAfter = std::chrono::seconds(1);
 constexpr Duration MaxEvacuationRetryAfter = std::chrono::seconds(5);
