--- a/tests/routing/warmupfleettest.cpp
+++ b/tests/routing/warmupfleettest.cpp
@@ -46,6 +46,7 @@
     void setUpstreams(std::uint64_t incarnation, Duration warmupLeft)
     {
         std::vector<RoutedUpstream> list;
+        list.reserve(Upstreams);
         for (int index = 0; index < Upstreams; ++index) {
             list.push_back({.id = UpstreamId("u" + std::to_string(index)),
                             .slots = 4,
