Make a test of the dispatcher deterministic; return no entry when a rank has no flow with entries

Cause: the new case of slotdispatchertest.cpp queued all requests at the same time, so the first turn followed the random order of a hash table: it passed in two runs and failed in the third. The static analyzer sees a null pointer in SlotQueue::nextTurn(), which a list without entries would reach. Change: the requests arrive one millisecond apart, with the same checks; nextTurn() returns None.

--- a/src/routing/slotqueue.cpp
+++ b/src/routing/slotqueue.cpp
@@ -182,6 +182,9 @@
             chosen = &flow;
         }
     }
+    if (chosen == nullptr) {
+        return None;
+    }
     return m_isNewestFirst ? chosen->last : chosen->first;
 }
 
--- a/tests/routing/slotdispatchertest.cpp
+++ b/tests/routing/slotdispatchertest.cpp
@@ -396,9 +396,10 @@
     const auto enqueue = [&](std::uint64_t request, FlowId flow, absl::InlinedVector<UpstreamIndex, 2> excluded) {
         fixture.dispatcher.handle(2,
                                   SlotRequest{.request = request, .flow = flow, .timeLeft = 10s, .excluded = std::move(excluded)},
-                                  Start,
+                                  Start + std::chrono::milliseconds(request - 100),
                                   fixture.outbox);
     };
+    // Of flows with equal turns, the one whose request arrived first is next.
     enqueue(101, FlowId(2), {});
     enqueue(102, FlowId(2), {});
     enqueue(103, FlowId(1), {first.upstream});
