--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -129,7 +129,6 @@
         self.revision = 1
         self.objects = {}
         self._events = []
-        self._changed = asyncio.Condition()
 
     async def start(self):
         host, port = self.address.split(":")
@@ -145,7 +144,7 @@
             "status": status if status is not None else (old or {}).get("status"),
         }
         self.objects[(kind, name)] = item
-        await self._publish(kind, item, False)
+        self._events.append((self.revision, kind, {"object": item, "deleted": False}))
         return item
 
     async def delete(self, kind, name):
@@ -153,12 +152,7 @@
         if item:
             self.revision += 1
             item = {**item, "metadata": {**item["metadata"], "revision": self.revision}}
-            await self._publish(kind, item, True)
-
-    async def _publish(self, kind, item, deleted):
-        self._events.append((self.revision, kind, {"object": item, "deleted": deleted}))
-        async with self._changed:
-            self._changed.notify_all()
+            self._events.append((self.revision, kind, {"object": item, "deleted": True}))
 
     async def _serve(self, reader, writer):
         try:
@@ -200,11 +194,9 @@
         def news():
             return [event for revision, event_kind, event in self._events if event_kind == kind and revision > since]
 
-        try:
-            async with self._changed:
-                await asyncio.wait_for(self._changed.wait_for(news), wait_s)
-        except asyncio.TimeoutError:
-            pass
+        until = time.monotonic() + wait_s
+        while not news() and time.monotonic() < until:
+            await asyncio.sleep(0.005)
         return 200, {"events": news(), "store_revision": self.revision}
 
 
