Review: end every process of a case, and tell a broken rule from a failed script

Cause: a process that was being started again when a case ended could be left over; an interrupted script ended with 1.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -13,7 +13,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 PROGRAM = ROOT / "target" / "filbertmount-edge"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-EXIT_HELD, EXIT_BROKEN, EXIT_COULD_NOT_RUN = 0, 1, 2
+# run.sh turns EXIT_BROKEN into 1 and any other failure, also one of the interpreter, into 2.
+EXIT_HELD, EXIT_BROKEN, EXIT_COULD_NOT_RUN = 0, 11, 2
 
 SETTINGS = """[instance]
 name = "{name}"
@@ -317,6 +318,7 @@
         self.highest_mb = 0.0
         self.memory_mb = memory_mb
         self._watch = None
+        self._is_stopping = False
         self._settings = Path(folder) / f"{self.name}.toml"
         self._log = Path(folder) / f"{self.name}.log"
         self._settings.write_text(
@@ -356,14 +358,17 @@
                 await process.wait()
                 break
             await asyncio.sleep(0.01)
+        if self._is_stopping:
+            return
         self.own_ends += 1
         self.record.line(f"{self.name} has ended by itself ({process.returncode})")
         await asyncio.sleep(0.5)
-        await self.start()
+        if not self._is_stopping:
+            await self.start()
 
     async def leave(self):
         """The machine is taken away for good: SIGTERM, and SIGKILL after the grace time."""
-        self._watch.cancel()
+        self._is_stopping = True
         self.process.send_signal(signal.SIGTERM)
         try:
             await asyncio.wait_for(self.process.wait(), 6)
@@ -373,11 +378,14 @@
         self.record.line(f"{self.name} has left for good")
 
     async def stop(self):
-        if self._watch:
-            self._watch.cancel()
-        if self.process and self.process.returncode is None:
-            self.process.send_signal(signal.SIGKILL)
-            await self.process.wait()
+        """Ends the process, also one that is just being started again."""
+        self._is_stopping = True
+        watched = None
+        while self._watch is not watched:
+            watched = self._watch
+            if self.process.returncode is None:
+                self.process.send_signal(signal.SIGKILL)
+            await watched
 
     async def is_ready(self):
         try:
