Count an instance without others as a member

What callers saw: when all machines but one were gone and its process started again, an account within its quota got no answer with success any more.

Cause: Fleet follows the members when the version of the membership differs from the last one it saw, and both began with 0. Until an instance met another one, its list of members was empty, so it had no coordinator, and nobody led the owners of quotas.

The new test of fleetrelaytest fails before: no members, no coordinator.

Change: the version is above 0 from the start.

--- a/include/filbertmount/membership/membershiptable.h
+++ b/include/filbertmount/membership/membershiptable.h
@@ -73,7 +73,7 @@
     PeerOutbox leave();
 
     [[nodiscard]] std::shared_ptr<const MemberList> live() const;
-    /** Increases with each change of live(). */
+    /** Increases with each change of live(); above 0 from the start. */
     [[nodiscard]] std::uint64_t version() const;
     [[nodiscard]] MembershipCounts counts() const;
 
@@ -146,7 +146,7 @@
     Duration m_fullListDelay ABSL_GUARDED_BY(m_mutex);
     MembershipCounts m_counts ABSL_GUARDED_BY(m_mutex);
     std::shared_ptr<const MemberList> m_live ABSL_GUARDED_BY(m_mutex);
-    std::uint64_t m_version ABSL_GUARDED_BY(m_mutex) = 0;
+    std::uint64_t m_version ABSL_GUARDED_BY(m_mutex) = 1;
     Instant m_nextFullListRequest ABSL_GUARDED_BY(m_mutex);
     /** The view hash of the last response differed from that of this instance. */
     bool m_viewDiffers ABSL_GUARDED_BY(m_mutex) = false;
--- a/tests/edge/fleetrelaytest.cpp
+++ b/tests/edge/fleetrelaytest.cpp
@@ -106,6 +106,15 @@
 
 } // namespace
 
+// After a restart without any other instance, nobody led the owners of quotas, and accounts were refused.
+TEST_CASE("fleet: an instance without others counts itself")
+{
+    IoLoop loop{1};
+    const Node node(loop, {.ip = "127.0.0.40", .zone = "a"});
+    CHECK(node.fleet.memberIds() == std::vector<InstanceId>{InstanceId("127.0.0.40")});
+    CHECK(node.fleet.coordinatorIds().size() == 1);
+}
+
 // Load pattern: a fleet over several zones, in which each change of the state goes to all instances.
 TEST_CASE("fleet: a message to all crosses to a large zone once and arrives everywhere once, as from its sender")
 {
