Do not count departed machines in the majority for quotas

Cause: the majority was taken of all machines that had ever registered in the store, and no registration was ever removed. With half of them gone, no leader had a majority, and owners granted only their part of the margin.

Evidence: with two live machines the number of known instances was 5, before and after the processes were killed. Nothing logged that number; "the number of known instances changed" and filbertmount_known_instances do now. Ruled out: owners that are not replaced (they change within a second), and limits that are not known.

Change: KnownInstances decides which machines may be running. One that announced its shutdown counts for one more second, until its promises have ended, and its votes count no longer. It also adds a departure to the store, which its next process removes. One instance among a majority does so for machines that were silent for 10 minutes, and deletes the entries of those that left long ago.

Same cause: the retry budget was divided by the number of registrations; it uses the same count.

--- a/apps/filbertmount-edge/main.cpp
+++ b/apps/filbertmount-edge/main.cpp
@@ -54,9 +54,10 @@
 class SignalHandler
 {
 public:
-    SignalHandler(IoLoop &loop, EdgeServer &server, SettingsReload &settings)
+    SignalHandler(IoLoop &loop, EdgeServer &server, StateService<Platform::StoreProtocol> &state, SettingsReload &settings)
         : m_loop(loop)
         , m_server(server)
+        , m_state(state)
         , m_settings(settings)
         , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
     {
@@ -73,6 +74,7 @@
             if (signal == SIGHUP) {
                 m_settings.reload();
             } else {
+                m_state.depart();
                 m_server.shutDown([this] {
                     m_loop.stop();
                 });
@@ -83,6 +85,7 @@
 
     IoLoop &m_loop;
     EdgeServer &m_server;
+    StateService<Platform::StoreProtocol> &m_state;
     SettingsReload &m_settings;
     Asio::signal_set m_signals;
 };
@@ -102,9 +105,15 @@
                                                 {.calls = {.store = *toTcpEndpoint(settings.store.text())},
                                                  .instanceName = instanceNameFrom(server.peerAddress()),
                                                  .instance = {.peerAddress = server.peerAddress()},
-                                                 .readsEvacuations = settings.zones.evacuations},
+                                                 .readsEvacuations = settings.zones.evacuations,
+                                                 .needsInstances =
+                                                     [&server] {
+                                                         return server.leadsQuotas();
+                                                     }},
                                                 server.mirror(),
                                                 server.replicator(),
+                                                server.fleet(),
+                                                server.knownInstances(),
                                                 server.metrics(),
                                                 [&server](const MirrorChanges &changes) {
                                                     server.onStateChange(changes);
@@ -116,7 +125,7 @@
         configureLog(changed);
         server.applySettings(changed);
     });
-    const SignalHandler signals(loop, server, reload);
+    const SignalHandler signals(loop, server, state, reload);
     startupBlock.release();
     state.start();
     logLine(LogLevel::Info,
--- a/include/filbertmount/edge/sharedstate.h
+++ b/include/filbertmount/edge/sharedstate.h
@@ -45,10 +45,16 @@
     bool operator==(const UpstreamRecord &) const = default;
 };
 
-/** An entry instance's entry in the store. */
+/**
+ * An entry about an entry instance in the store: its registration, or its departure from the fleet, which is an object of its
+ * own. A departure is created by a single call, so that a lost response or a late execution of the call does no harm.
+ */
 struct InstanceRecord {
     /** "IP:port" for messages between instances. */
     std::string peerAddress;
+    bool isDeparture = false;
+
+    bool operator==(const InstanceRecord &) const = default;
 };
 
 /** An operator's request that the upstreams of a zone get no further requests. The object's name is the zone. */
@@ -122,6 +128,8 @@
     HistoryGone,
     /** The state of the object does not allow the call, such as creating an object that exists. */
     Conflict,
+    /** The object does not exist. */
+    Missing,
     /** The response violates the protocol. */
     Malformed,
 };
@@ -168,6 +176,9 @@
     {
         protocol.createInstanceRequest(text, instance)
         } -> std::same_as<StoreRequest>;
+    {
+        protocol.deleteInstanceRequest(text, revision)
+        } -> std::same_as<StoreRequest>;
     {
         protocol.parsePage(kind, status, text)
         } -> std::same_as<StoreResult<StatePage>>;
--- /dev/null
+++ b/include/filbertmount/membership/knowninstances.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <filbertmount/membership/membershiptable.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Filbertmount {
+
+/** An entry in the store's list of instances. */
+struct RegisteredInstance {
+    /** "IP:port" for messages between instances; identifies the machine, also after a restart of its process. */
+    std::string peerAddress;
+    /** The entry states that the instance has left the fleet. */
+    bool isDeparture = false;
+};
+
+struct KnownInstancesOptions {
+    /** An instance that stopped responding counts for this long without a registration. */
+    Duration recentTime = std::chrono::seconds(30);
+    /** An instance that announced its shutdown counts for this long: its earlier promises to others must have ended. */
+    Duration departureDelay = std::chrono::seconds(1);
+    /** An announced departure that the store does not confirm within this time counts no longer. */
+    Duration confirmationTime = std::chrono::seconds(10);
+    /** A registered instance that was silent for this long has left without announcing it. */
+    Duration silenceLimit = std::chrono::minutes(10);
+    /** A live instance with a departure entry this old has restarted, and its process failed to remove the entry. */
+    Duration wrongDepartureTime = std::chrono::seconds(10);
+    /** Entries of departed instances are kept for this long, so that stale listings do not bring them back. */
+    Duration departureRetention = std::chrono::minutes(10);
+};
+
+/**
+ * Tracks which instances may be running, reachable or not: live members, members that stopped responding recently, and the
+ * instances registered in the store. Instances that announced their shutdown are not among them, although their registration may
+ * still exist. Instances are identified by their peer addresses, which survive a restart. Performs no I/O. Not thread-safe.
+ */
+class KnownInstances
+{
+public:
+    explicit KnownInstances(KnownInstancesOptions options = {});
+
+    /** Updates the live members and those that announced their shutdown. */
+    void setMembers(const MemberList &live, const MemberList &left, Instant now);
+    /** Replaces the entries listed by the store. */
+    void setRegistered(const std::vector<RegisteredInstance> &entries, Instant now);
+
+    /** Number of instances that may be running. */
+    [[nodiscard]] std::size_t count(Instant now) const;
+    /** Number of registered instances that have not departed. */
+    [[nodiscard]] std::size_t registeredCount() const;
+    /** Whether an instance that may be running is not live. */
+    [[nodiscard]] bool isAnyMissing(Instant now) const;
+    /** Whether more than half of the instances that may be running are live. */
+    [[nodiscard]] bool isMajorityLive(Instant now) const;
+
+    /** Registered instances that were silent for so long that they have left the fleet. */
+    [[nodiscard]] std::vector<std::string> silentInstances(Instant now) const;
+    /** Live instances whose departure entry is wrong. */
+    [[nodiscard]] std::vector<std::string> wrongDepartures(Instant now) const;
+    /** Departed instances whose entries are no longer needed. */
+    [[nodiscard]] std::vector<std::string> obsoleteDepartures(Instant now) const;
+
+private:
+    struct Entry {
+        /** Process that was live last. */
+        InstanceId lastProcess;
+        /** When the instance was last live; while it has not been, when it became known. */
+        Instant seenAt;
+        /** When its process announced the shutdown. */
+        std::optional<Instant> leftAt;
+        /** Since when the store lists the departure. */
+        std::optional<Instant> departureListedAt;
+        bool wasLive = false;
+        bool isLive = false;
+        bool isRegistered = false;
+    };
+
+    [[nodiscard]] bool mayRun(const Entry &entry, Instant now) const;
+    Entry &entryOf(const std::string &peerAddress, Instant now);
+    /** Removes entries that state nothing any more. */
+    void prune(Instant now);
+
+    KnownInstancesOptions m_options;
+    /** By peer address. */
+    std::map<std::string, Entry> m_entries;
+};
+
+} // namespace Filbertmount
--- a/include/filbertmount/membership/membershiptable.h
+++ b/include/filbertmount/membership/membershiptable.h
@@ -73,6 +73,8 @@
     PeerOutbox leave();
 
     [[nodiscard]] std::shared_ptr<const MemberList> live() const;
+    /** Members that announced their shutdown a few minutes ago at most. */
+    [[nodiscard]] MemberList left() const;
     /** Increases with each change of live(); above 0 from the start. */
     [[nodiscard]] std::uint64_t version() const;
     [[nodiscard]] MembershipCounts counts() const;
--- a/include/filbertmount/telemetry/metrics.h
+++ b/include/filbertmount/telemetry/metrics.h
@@ -52,6 +52,7 @@
 inline constexpr MetricInfo ZoneExitBytes{"filbertmount_zone_exit_bytes_total",
                                           "Bytes of requests and responses between zones, by service and zones"};
 inline constexpr MetricInfo Members{"filbertmount_members", "Entry instances seen alive"};
+inline constexpr MetricInfo KnownInstances{"filbertmount_known_instances", "Entry instances that may be running"};
 inline constexpr MetricInfo QuotaDecisions{"filbertmount_quota_decisions_total",
                                            "Requests of accounts with a limit, by outcome of the quota"};
 inline constexpr MetricInfo QuotaBuckets{"filbertmount_quota_buckets", "Accounts whose tokens this instance grants"};
--- a/scripts/lib/soak/store.py
+++ b/scripts/lib/soak/store.py
@@ -1,7 +1,7 @@
 """Stand-in for the platform's store: objects with revisions, listings, watches and the failures of a real store."""
 import asyncio
 import json
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 
 from .http import IncompleteMessage, format_response, read_message
 
@@ -82,6 +82,8 @@
         kind = parts.path.split("/")[3]
         if method == "POST":
             return await self._create(kind, json.loads(message.body))
+        if method == "DELETE":
+            return await self._delete(kind, unquote(parts.path.split("/")[4]), query.get("revision"))
         if "watch" in query:
             return await self._watch(kind, int(query["watch"]), int(query["wait_ms"]) / 1000)
         revision, objects = self._stale_copy if "stale_ok" in query else (self.revision, self.objects)
@@ -97,6 +99,15 @@
             raise ConnectionAbortedError
         return self._json(self.objects[(kind, name)], 201)
 
+    async def _delete(self, kind, name, revision):
+        item = self.objects.get((kind, name))
+        if item is None:
+            return format_response(404)
+        if revision is not None and int(revision) != item["metadata"]["revision"]:
+            return format_response(409, json.dumps(item).encode())
+        await self.delete(kind, name)
+        return self._json({})
+
     async def _watch(self, kind, since, wait_s):
         def new_events():
             return [event for revision, event_kind, event in self.events if event_kind == kind and revision > since]
--- a/src/accounts/quotaelection.cpp
+++ b/src/accounts/quotaelection.cpp
@@ -231,7 +231,8 @@
         m_highestEpoch = vote.epoch();
         publish(m_published.ids(), now);
     }
-    if (vote.round() != m_round) {
+    // An instance that shuts down does not count as known to others for long, so its vote must not form a majority either.
+    if (vote.round() != m_round || received.hasResigned) {
         return;
     }
     m_roundVotes.insert(from);
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -151,8 +151,9 @@
                     [this](const ServiceName &service, const UpstreamId &upstream, const WarmupChange &change) {
                         onWarmupChange(service, upstream, change);
                     }})
-    , m_quotas(m_settings.quotas ? std::make_unique<QuotaService>(loop, m_fleet, m_metrics, *m_settings.quotas, randomSeed())
-                                 : nullptr)
+    , m_quotas(m_settings.quotas
+                   ? std::make_unique<QuotaService>(loop, m_fleet, m_known, m_metrics, *m_settings.quotas, randomSeed())
+                   : nullptr)
     , m_connectionPool(loop)
     , m_evacuationEffects(m_metrics)
     , m_evacuationStart(m_settings.zones.evacuations)
@@ -235,6 +236,21 @@
     return m_replicator;
 }
 
+const Fleet &EdgeServer::fleet() const
+{
+    return m_fleet;
+}
+
+const KnownInstances &EdgeServer::knownInstances() const
+{
+    return m_known;
+}
+
+bool EdgeServer::leadsQuotas() const
+{
+    return m_quotas && m_quotas->isLeading();
+}
+
 Metrics &EdgeServer::metrics()
 {
     return m_metrics;
@@ -287,6 +303,7 @@
         }
     }
     m_fleet.tick(now);
+    followMembers(now);
     m_router.tick(now);
     if (m_quotas) {
         m_quotas->tick(now);
@@ -375,7 +392,7 @@
 
 double EdgeServer::instanceCount() const
 {
-    return static_cast<double>(std::max({std::size_t{1}, m_mirror.instances().size(), m_fleet.memberCount()}));
+    return static_cast<double>(std::max({std::size_t{1}, m_known.registeredCount(), m_fleet.memberCount()}));
 }
 
 double EdgeServer::retryBurst() const
@@ -479,16 +496,28 @@
 void EdgeServer::applyInstances()
 {
     std::vector<std::string> addresses;
+    std::vector<RegisteredInstance> registered;
     for (const auto &[name, object] : m_mirror.instances()) {
-        addresses.push_back(std::get<InstanceRecord>(object.value).peerAddress);
+        const auto &record = std::get<InstanceRecord>(object.value);
+        registered.push_back({.peerAddress = record.peerAddress, .isDeparture = record.isDeparture});
+        if (!record.isDeparture) {
+            addresses.push_back(record.peerAddress);
+        }
     }
     m_fleet.setKnownAddresses(std::move(addresses));
-    if (m_quotas) {
-        m_quotas->setRegisteredInstances(m_mirror.instances().size());
-    }
+    m_known.setRegistered(registered, ProcessClock::now());
     configureServices();
 }
 
+void EdgeServer::followMembers(Instant now)
+{
+    if (m_fleet.memberVersion() == m_memberVersion) {
+        return;
+    }
+    m_memberVersion = m_fleet.memberVersion();
+    m_known.setMembers(m_fleet.liveMembers(), m_fleet.leftMembers(), now);
+}
+
 void EdgeServer::markUpstreamDown(const ServiceName &service, const UpstreamId &upstream)
 {
     logLine(LogLevel::Info,
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -13,6 +13,7 @@
 #include <filbertmount/edge/evacuationstart.h>
 #include <filbertmount/edge/httpdialect.h>
 #include <filbertmount/edge/statemirror.h>
+#include <filbertmount/membership/knowninstances.h>
 #include <filbertmount/quarantine/crashhistorysync.h>
 
 #include <functional>
@@ -31,6 +32,10 @@
 
     [[nodiscard]] StateMirror &mirror();
     [[nodiscard]] StateReplicator &replicator();
+    [[nodiscard]] const Fleet &fleet() const;
+    [[nodiscard]] const KnownInstances &knownInstances() const;
+    /** Whether this instance leads the owners of quotas; false if there are none. */
+    [[nodiscard]] bool leadsQuotas() const;
     [[nodiscard]] Metrics &metrics();
     [[nodiscard]] std::string peerAddress() const;
 
@@ -55,6 +60,8 @@
     void applyRoutes();
     void applyUpstreams();
     void applyInstances();
+    /** Passes changes of the members on to m_known. */
+    void followMembers(Instant now);
     void configureServices();
     [[nodiscard]] WarmupOptions warmupOptions(const ServiceAccess &service) const;
     void onWarmupChange(const ServiceName &service, const UpstreamId &upstream, const WarmupChange &change);
@@ -74,6 +81,7 @@
     Metrics m_metrics;
     StateMirror m_mirror;
     Fleet m_fleet;
+    KnownInstances m_known;
     StateReplicator m_replicator;
     Router m_router;
     /** Null if quotas of client accounts are not enforced. */
@@ -107,6 +115,7 @@
     /** Instance count by which the configured retry budgets are divided. */
     double m_configuredInstances = 0;
     std::uint64_t m_ticks = 0;
+    std::uint64_t m_memberVersion = 0;
 };
 
 } // namespace Filbertmount
--- a/src/edge/fleet.cpp
+++ b/src/edge/fleet.cpp
@@ -189,6 +189,16 @@
     return m_options.self.id;
 }
 
+const MemberList &Fleet::liveMembers() const
+{
+    return m_liveMembers;
+}
+
+MemberList Fleet::leftMembers() const
+{
+    return m_membership.left();
+}
+
 std::vector<InstanceId> Fleet::memberIds() const
 {
     std::vector<InstanceId> ids;
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -47,6 +47,10 @@
     /** Selects other members to pass messages on, so that one that does not respond delays only some messages. */
     void rotateRelays();
     [[nodiscard]] const InstanceId &self() const;
+    /** Live members, this instance included. */
+    [[nodiscard]] const MemberList &liveMembers() const;
+    /** Members that announced their shutdown a few minutes ago at most. */
+    [[nodiscard]] MemberList leftMembers() const;
     /** Ids of the live members, this instance included. */
     [[nodiscard]] std::vector<InstanceId> memberIds() const;
     /** Number of live members, this instance included. */
--- a/src/edge/instanceregistration.h
+++ b/src/edge/instanceregistration.h
@@ -3,19 +3,29 @@
 #include "edge/statelisting.h"
 
 #include <filbertmount/edge/statemirror.h>
+#include <filbertmount/telemetry/log.h>
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 
 namespace Filbertmount {
 
+/** Returns the name of the departure that belongs to the registration @p name. */
+inline std::string departureName(const std::string &name)
+{
+    return name + ".departed";
+}
+
 /**
  * Registers an entry instance in the store's list of instances and reads the others from it. Runs on the IoLoop.
  *
  * Instances normally find each other through the seeds in their settings. The list is a fallback for when all seeds are gone,
- * so it may be stale and is read some time after the start. An instance whose entry from an earlier run exists creates none.
+ * so it may be stale and is read some time after the start. It also states how many instances there are when most of them cannot
+ * be reached. An instance whose entry from an earlier run exists creates none. One that shuts down adds a departure, which its
+ * next process removes.
  */
 template<StoreProtocol Protocol>
 class InstanceRegistration
@@ -49,6 +59,15 @@
         listLater(FirstListingDelay);
     }
 
+    /** Adds the departure of this instance, which shuts down, and makes no further calls. */
+    void depart()
+    {
+        m_timer.cancel();
+        m_calls.cancel();
+        m_retryDelay = m_options.firstRetryDelay;
+        createDeparture();
+    }
+
 private:
     void list()
     {
@@ -66,29 +85,70 @@
         }
         m_onChange(
             m_mirror.applyListing(StateKind::Instances, std::move(listed->objects), listed->storeRevision, ProcessClock::now()));
+        const auto departure = m_mirror.instances().find(departureName(m_name));
         if (!m_isRegistered && !m_mirror.instances().contains(m_name)) {
             registerInstance();
+        } else if (departure != m_mirror.instances().end()) {
+            removeDeparture(departure->second.revision);
+        } else if (!std::exchange(m_hasListedTwice, m_hasListed)) {
+            listLater(SecondListingDelay);
         }
+        m_hasListed = true;
     }
 
     void registerInstance()
     {
-        m_calls.call(m_protocol.createInstanceRequest(m_name, m_record),
-                     "create",
-                     m_options.callTimeout,
-                     [this](const CallResult &result) {
-                         const auto written = result.parse([this](int status, const std::string &body) {
-                             return m_protocol.parseWriteResponse(status, body);
-                         });
-                         const auto *error = std::get_if<StoreError>(&written);
-                         // A conflict means that an earlier call, whose response was lost, created the entry.
-                         if (error != nullptr && error->problem != StoreProblem::Conflict) {
-                             retryLater();
-                             return;
-                         }
-                         m_isRegistered = true;
-                         listLater(SecondListingDelay);
-                     });
+        write(m_protocol.createInstanceRequest(m_name, m_record), "create", [this](std::optional<StoreProblem> problem) {
+            // A conflict means that an earlier call, whose response was lost, created the entry.
+            if (problem && problem != StoreProblem::Conflict) {
+                retryLater();
+                return;
+            }
+            m_isRegistered = true;
+            listLater(SecondListingDelay);
+        });
+    }
+
+    void createDeparture()
+    {
+        const InstanceRecord departure{.peerAddress = m_record.peerAddress, .isDeparture = true};
+        write(m_protocol.createInstanceRequest(departureName(m_name), departure),
+              "create",
+              [this](std::optional<StoreProblem> problem) {
+                  if (!problem || problem == StoreProblem::Conflict) {
+                      logLine(LogLevel::Info, "the store lists this instance as departed");
+                      return;
+                  }
+                  m_timer.start(m_retryDelay, [this] {
+                      createDeparture();
+                  });
+                  m_retryDelay = std::min<Duration>(2 * m_retryDelay, m_options.maxRetryDelay);
+              });
+    }
+
+    void removeDeparture(Revision revision)
+    {
+        write(m_protocol.deleteInstanceRequest(departureName(m_name), revision),
+              "delete",
+              [this](std::optional<StoreProblem> problem) {
+                  if (problem && problem != StoreProblem::Missing) {
+                      retryLater();
+                      return;
+                  }
+                  listLater(SecondListingDelay);
+              });
+    }
+
+    /** @p onDone receives the problem of a failed call. */
+    void write(const StoreRequest &request, const std::string &operation, std::function<void(std::optional<StoreProblem>)> onDone)
+    {
+        m_calls.call(request, operation, m_options.callTimeout, [this, onDone = std::move(onDone)](const CallResult &result) {
+            const auto written = result.parse([this](int status, const std::string &body) {
+                return m_protocol.parseWriteResponse(status, body);
+            });
+            const auto *error = std::get_if<StoreError>(&written);
+            onDone(error == nullptr ? std::nullopt : std::optional(error->problem));
+        });
     }
 
     void retryLater()
@@ -106,7 +166,7 @@
 
     /** Live seeds respond to a joining instance within this time. */
     static constexpr Duration FirstListingDelay = std::chrono::milliseconds(600);
-    /** After this time, even a stale listing contains the entries that other instances created at the same time. */
+    /** After this time, even a stale listing contains what the instances wrote at the start and at the shutdown before. */
     static constexpr Duration SecondListingDelay = std::chrono::seconds(4);
     /** Long, because nothing urgent depends on the list of instances. */
     static constexpr Duration MaxRetryDelay = std::chrono::seconds(4);
@@ -122,6 +182,8 @@
     OneShotTimer m_timer;
     Duration m_retryDelay;
     bool m_isRegistered = false;
+    bool m_hasListed = false;
+    bool m_hasListedTwice = false;
 };
 
 } // namespace Filbertmount
--- a/src/edge/quotaservice.cpp
+++ b/src/edge/quotaservice.cpp
@@ -2,27 +2,16 @@
 
 #include <filbertmount/telemetry/log.h>
 
-#include <absl/container/flat_hash_set.h>
 #include <boost/asio/post.hpp>
 
-#include <algorithm>
-
 namespace Filbertmount {
 
 namespace {
 
-// An instance counts as known for one to two of these periods after it was last seen.
-constexpr Duration KnownPeriod = std::chrono::seconds(30);
-// Also without a change, because the number of registered instances may have changed.
+// Also without a change of the members, because the number of known instances may have changed.
 constexpr Duration MemberInterval = std::chrono::milliseconds(500);
 constexpr Duration ReportInterval = std::chrono::seconds(1);
 
-/** Name of the machine of an instance; a restarted process has the same name and another id. */
-std::string_view machineOf(const InstanceId &id)
-{
-    return std::string_view(id.value()).substr(0, id.value().rfind('/'));
-}
-
 QuotaOptions optionsFrom(const QuotaSettings &settings)
 {
     return {.window = settings.window, .overshoot = settings.overshoot, .slack = settings.slack};
@@ -30,12 +19,17 @@
 
 } // namespace
 
-QuotaService::QuotaService(IoLoop &loop, Fleet &fleet, Metrics &metrics, const QuotaSettings &settings, std::uint64_t seed)
+QuotaService::QuotaService(IoLoop &loop,
+                           Fleet &fleet,
+                           const KnownInstances &known,
+                           Metrics &metrics,
+                           const QuotaSettings &settings,
+                           std::uint64_t seed)
     : m_loop(loop)
     , m_fleet(fleet)
+    , m_known(known)
     , m_metrics(metrics)
     , m_engine(fleet.self(), optionsFrom(settings), seed, ProcessClock::now())
-    , m_knownSince(ProcessClock::now())
     , m_granted(metrics.counter(MetricNames::QuotaDecisions, {{"outcome", "granted"}}))
     , m_overQuota(metrics.counter(MetricNames::QuotaDecisions, {{"outcome", "over_quota"}}))
     , m_unavailable(metrics.counter(MetricNames::QuotaDecisions, {{"outcome", "unavailable"}}))
@@ -149,23 +143,7 @@
     }
     m_memberVersion = m_fleet.memberVersion();
     m_membersAt = now;
-    const std::vector<InstanceId> members = m_fleet.memberIds();
-    absl::flat_hash_set<std::string_view> machines;
-    for (const InstanceId &member : members) {
-        machines.insert(machineOf(member));
-    }
-    if (now - m_knownSince >= KnownPeriod) {
-        m_knownSince = now;
-        m_knownBefore = std::exchange(m_knownNow, 0);
-    }
-    m_knownNow = std::max({m_knownNow, machines.size(), m_registered});
-    m_engine.setMembers(
-        {.members = members, .coordinators = m_fleet.coordinatorIds(), .known = std::max(m_knownNow, m_knownBefore)});
-}
-
-void QuotaService::setRegisteredInstances(std::size_t count)
-{
-    m_registered = count;
+    m_engine.setMembers({.members = m_fleet.memberIds(), .coordinators = m_fleet.coordinatorIds(), .known = m_known.count(now)});
 }
 
 void QuotaService::setVersion(std::uint64_t version)
@@ -181,16 +159,17 @@
     apply(output);
     if (now - m_reportedAt >= ReportInterval) {
         m_reportedAt = now;
-        report();
+        report(now);
     }
 }
 
-void QuotaService::report()
+void QuotaService::report(Instant now)
 {
     const QuotaElection &election = m_engine.election();
     m_metrics.gauge(MetricNames::QuotaBuckets).Set(static_cast<double>(m_engine.owner().bucketCount()));
     m_metrics.gauge(MetricNames::QuotaWaiting).Set(static_cast<double>(m_engine.client().waiting()));
     m_metrics.gauge(MetricNames::QuotaLeading).Set(election.isLeading() ? 1 : 0);
+    reportKnown(now);
     if (election.isLeading() != m_wasLeading) {
         m_wasLeading = election.isLeading();
         logLine(LogLevel::Info, m_wasLeading ? "leads the owners of quotas" : "no longer leads the owners of quotas");
@@ -204,6 +183,25 @@
     }
 }
 
+void QuotaService::reportKnown(Instant now)
+{
+    const std::size_t known = m_known.count(now);
+    m_metrics.gauge(MetricNames::KnownInstances).Set(static_cast<double>(known));
+    if (known != m_reportedKnown) {
+        m_reportedKnown = known;
+        logLine(LogLevel::Info,
+                "the number of known instances changed",
+                {{.name = "known", .value = static_cast<std::int64_t>(known)},
+                 {.name = "live", .value = static_cast<std::int64_t>(m_fleet.memberCount())},
+                 {.name = "registered", .value = static_cast<std::int64_t>(m_known.registeredCount())}});
+    }
+}
+
+bool QuotaService::isLeading() const
+{
+    return m_engine.election().isLeading();
+}
+
 void QuotaService::onResume(Instant now)
 {
     m_engine.onResume(now);
--- a/src/edge/quotaservice.h
+++ b/src/edge/quotaservice.h
@@ -5,6 +5,7 @@
 
 #include <filbertmount/accounts/quotaengine.h>
 #include <filbertmount/edge/edgesettings.h>
+#include <filbertmount/membership/knowninstances.h>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -16,8 +17,13 @@
 class QuotaService : public QuotaGate
 {
 public:
-    /** @p fleet and @p metrics must outlive the service. */
-    QuotaService(IoLoop &loop, Fleet &fleet, Metrics &metrics, const QuotaSettings &settings, std::uint64_t seed);
+    /** @p fleet, @p known and @p metrics must outlive the service. */
+    QuotaService(IoLoop &loop,
+                 Fleet &fleet,
+                 const KnownInstances &known,
+                 Metrics &metrics,
+                 const QuotaSettings &settings,
+                 std::uint64_t seed);
     ~QuotaService() override;
 
     std::uint64_t acquire(const QuotaAsk &ask, QuotaHandler handler) override;
@@ -26,8 +32,6 @@
 
     /** Call every few milliseconds. */
     void tick(Instant now);
-    /** Sets the number of registered instances, including those that cannot be reached. */
-    void setRegisteredInstances(std::size_t count);
     /** Sets the version of the configuration in force. */
     void setVersion(std::uint64_t version);
     /** Call after a suspension of the process. */
@@ -36,6 +40,8 @@
     void startDraining();
     /** Returns all unused tokens; call at the end of the process. */
     void returnTokens();
+    /** Whether this instance leads the owners of quotas, or those of its part of a divided fleet. */
+    [[nodiscard]] bool isLeading() const;
 
 private:
     void onMessage(const InstanceId &from, const Wire::Body &body);
@@ -43,20 +49,18 @@
     void apply(QuotaOutput &output);
     void flushSoon();
     void followMembers(Instant now);
-    void report();
+    void report(Instant now);
+    void reportKnown(Instant now);
     void count(QuotaOutcome outcome);
 
     IoLoop &m_loop;
     Fleet &m_fleet;
+    const KnownInstances &m_known;
     Metrics &m_metrics;
     QuotaEngine m_engine;
     absl::flat_hash_map<std::uint64_t, QuotaHandler> m_handlers;
     std::uint64_t m_memberVersion = 0;
-    std::size_t m_registered = 0;
-    /** Largest numbers of instances in the present and the previous period, see KnownPeriod. */
-    std::size_t m_knownNow = 0;
-    std::size_t m_knownBefore = 0;
-    Instant m_knownSince;
+    std::size_t m_reportedKnown = 0;
     Instant m_membersAt{};
     Instant m_reportedAt{};
     std::uint64_t m_reportedEpoch = 0;
--- a/src/edge/sharedstate.cpp
+++ b/src/edge/sharedstate.cpp
@@ -28,6 +28,8 @@
         return "history-gone";
     case StoreProblem::Conflict:
         return "conflict";
+    case StoreProblem::Missing:
+        return "missing";
     case StoreProblem::Malformed:
         return "malformed";
     }
--- a/src/edge/stateservice.h
+++ b/src/edge/stateservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/instanceregistration.h"
+#include "edge/registrationupkeep.h"
 #include "edge/singlelisting.h"
 #include "edge/statefollower.h"
 #include "edge/statereplicator.h"
@@ -29,6 +30,10 @@
         InstanceRecord instance;
         /** Whether evacuations of zones are read. */
         bool readsEvacuations = false;
+        /** Whether this instance needs a current list of instances to decide on behalf of the others. */
+        std::function<bool()> needsInstances = [] {
+            return false;
+        };
     };
 
     StateService(IoLoop &loop,
@@ -36,6 +41,8 @@
                  Options options,
                  StateMirror &mirror,
                  StateReplicator &replicator,
+                 const Fleet &fleet,
+                 const KnownInstances &known,
                  Metrics &metrics,
                  const ChangeHandler &onChange)
         : m_replicator(replicator)
@@ -45,6 +52,12 @@
         , m_routesListing(loop, protocol, StateKind::Routes, options.calls, mirror, metrics, onChange)
         , m_upstreamsListing(loop, protocol, StateKind::Upstreams, options.calls, mirror, metrics, onChange)
         , m_registration(loop, protocol, options.instanceName, options.instance, options.calls, mirror, metrics, onChange)
+        , m_upkeep(loop,
+                   protocol,
+                   options.calls,
+                   {.mirror = mirror, .fleet = fleet, .known = known, .metrics = metrics},
+                   options.needsInstances,
+                   onChange)
         , m_mirror(mirror)
         , m_tickTask(loop, DecisionInterval, [this] {
             tick();
@@ -68,6 +81,13 @@
         m_registration.start();
     }
 
+    /** Lets the store list this instance as departed, because it shuts down. */
+    void depart()
+    {
+        m_isDeparting = true;
+        m_registration.depart();
+    }
+
     /** Lists the store's objects again after a suspension: the state may be old, and the age of confirmations is unknown. */
     void rereadStore()
     {
@@ -94,6 +114,9 @@
     {
         const Instant now = ProcessClock::now();
         m_replicator.tick(now);
+        if (!m_isDeparting) {
+            m_upkeep.tick(now);
+        }
         startOrStop(m_routesFollower, m_replicator.shouldRead(StateKind::Routes, now), StateKind::Routes);
         startOrStop(m_upstreamsFollower, m_replicator.shouldRead(StateKind::Upstreams, now), StateKind::Upstreams);
         if (m_evacuationsFollower) {
@@ -135,8 +158,10 @@
     std::optional<SingleListing<Protocol>> m_evacuationsListing;
     FirstListings m_firstListings;
     InstanceRegistration<Protocol> m_registration;
+    RegistrationUpkeep<Protocol> m_upkeep;
     const StateMirror &m_mirror;
     PeriodicTask m_tickTask;
+    bool m_isDeparting = false;
 };
 
 } // namespace Filbertmount
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -334,6 +334,18 @@
     return m_live;
 }
 
+MemberList MembershipTable::left() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    MemberList members;
+    for (const auto &[id, entry] : m_members->entries()) {
+        if (entry.member.state == MemberState::Left) {
+            members.push_back(entry.member);
+        }
+    }
+    return members;
+}
+
 std::uint64_t MembershipTable::version() const
 {
     const absl::MutexLock lock(&m_mutex);
--- /dev/null
+++ b/tests/edge/instanceregistrationtest.cpp
@@ -0,0 +1,211 @@
+#include "edge/registrationupkeep.h"
+
+#include "support/loopserver.h"
+
+#include "storeprotocol.h"
+
+#include <absl/strings/str_cat.h>
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace Filbertmount;
+using namespace Filbertmount::TestSupport;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A store that holds the list of instances and lists, creates and deletes its entries. */
+class ListStore
+{
+public:
+    explicit ListStore(IoLoop &loop)
+        : m_server(loop, [this](ScriptedPeer &peer) {
+            respond(peer);
+        })
+    {
+    }
+
+    void put(const std::string &name, const std::string &spec)
+    {
+        entries[name] = absl::StrCat(
+            R"({"metadata":{"name":")", name, R"(","revision":)", ++m_revision, R"(},"spec":)", spec, R"(,"status":null})");
+    }
+
+    [[nodiscard]] Tcp::endpoint endpoint() const
+    {
+        return m_server.endpoint();
+    }
+
+    std::map<std::string, std::string> entries;
+    std::vector<std::string> calls;
+    /** Writes that are applied although no response arrives. */
+    int lostResponses = 0;
+
+private:
+    void respond(ScriptedPeer &peer)
+    {
+        const std::size_t end = peer.received.find("\r\n\r\n");
+        const std::size_t body = peer.received.find("{");
+        const bool hasBody = peer.received.starts_with("POST");
+        if (end == std::string::npos || (hasBody && body == std::string::npos)) {
+            return;
+        }
+        const std::string request = std::exchange(peer.received, {});
+        calls.push_back(request.substr(0, request.find(" HTTP")));
+        const std::string response = hasBody ? create(request.substr(body)) : otherCall(request);
+        if (!request.starts_with("GET") && lostResponses > 0) {
+            --lostResponses;
+            peer.close();
+            return;
+        }
+        peer.send(response);
+    }
+
+    std::string create(const std::string &object)
+    {
+        const std::size_t start = object.find(R"("name":")") + 8;
+        const std::string name = object.substr(start, object.find('"', start) - start);
+        if (entries.contains(name)) {
+            return "HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n";
+        }
+        const std::size_t spec = object.find(R"("spec":)") + 7;
+        put(name, object.substr(spec, object.find('}', spec) + 1 - spec));
+        return "HTTP/1.1 201 X\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    std::string otherCall(const std::string &request)
+    {
+        if (request.starts_with("DELETE")) {
+            const std::size_t start = request.rfind('/', request.find('?')) + 1;
+            ++m_revision;
+            return entries.erase(request.substr(start, request.find('?') - start)) > 0
+                ? "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"
+                : "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n";
+        }
+        std::string items;
+        for (const auto &[name, entry] : entries) {
+            absl::StrAppend(&items, items.empty() ? "" : ",", entry);
+        }
+        const std::string listing = absl::StrCat(R"({"items":[)", items, R"(],"store_revision":)", m_revision, "}");
+        return absl::StrCat("HTTP/1.1 200 X\r\nContent-Length: ", listing.size(), "\r\n\r\n", listing);
+    }
+
+    int m_revision = 1;
+    ScriptedServer m_server;
+};
+
+/** The registration of the instance at the address "a". */
+struct Process {
+    Process(IoLoop &loop, const ListStore &store)
+        : registration(loop,
+                       Platform::StoreProtocol(),
+                       "a",
+                       {.peerAddress = "a"},
+                       {.store = store.endpoint()},
+                       mirror,
+                       metrics,
+                       [](const MirrorChanges &) {})
+    {
+        registration.start();
+    }
+
+    StateMirror mirror;
+    Metrics metrics;
+    InstanceRegistration<Platform::StoreProtocol> registration;
+};
+
+constexpr const char *Departed = R"({"departed":true,"peer_address":"a"})";
+
+} // namespace
+
+// An instance that left for good stayed registered, and the instances that remained had no majority for quotas.
+TEST_CASE("instance registration: an instance that shuts down is listed as departed, whatever is lost on the way")
+{
+    for (const int lostResponses : {0, 1, 3}) {
+        CAPTURE(lostResponses);
+        IoLoop loop{1};
+        ListStore store(loop);
+        Process process(loop, store);
+        REQUIRE(runUntil(loop, [&] {
+            return store.entries.contains("a");
+        }));
+        store.lostResponses = lostResponses;
+        process.registration.depart();
+        REQUIRE(runUntil(loop, [&] {
+            return store.entries.contains("a.departed") && store.lostResponses == 0;
+        }));
+        CHECK(store.entries.at("a.departed").find(Departed) != std::string::npos);
+        Process other(loop, store);
+        REQUIRE(runUntil(loop, [&] {
+            return other.mirror.instances().contains("a.departed");
+        }));
+        CHECK(std::get<InstanceRecord>(other.mirror.instances().at("a.departed").value).isDeparture);
+    }
+}
+
+// An instance that is listed as departed while it runs would not count when others decide who has a majority.
+TEST_CASE("instance registration: an instance that starts again is no longer listed as departed")
+{
+    IoLoop loop{1};
+    ListStore store(loop);
+    store.put("a", R"({"peer_address":"a"})");
+    store.put("a.departed", Departed);
+    const Process process(loop, store);
+    REQUIRE(runUntil(loop, [&] {
+        return !store.entries.contains("a.departed");
+    }));
+    CHECK(store.entries.contains("a"));
+}
+
+// Without the removal, the list grows with each machine that is replaced.
+TEST_CASE("registration upkeep: the entries of an instance that departed long ago are deleted, the departure last")
+{
+    IoLoop loop{1};
+    ListStore store(loop);
+    store.put("b", R"({"peer_address":"b"})");
+    store.put("b.departed", R"({"departed":true,"peer_address":"b"})");
+    Metrics metrics;
+    StateMirror mirror;
+    KnownInstances known({.departureRetention = 1ms});
+    Fleet fleet(loop, {.cluster = "test", .self = {.id = InstanceId("a"), .peerAddress = "127.0.0.35:17662"}}, metrics);
+    Router router({.self = InstanceId("a"), .send = fleet.sender()});
+    fleet.setRouter(router);
+    const auto follow = [&] {
+        std::vector<RegisteredInstance> registered;
+        for (const auto &[name, object] : mirror.instances()) {
+            const auto &record = std::get<InstanceRecord>(object.value);
+            registered.push_back({.peerAddress = record.peerAddress, .isDeparture = record.isDeparture});
+        }
+        known.setRegistered(registered, ProcessClock::now());
+    };
+    RegistrationUpkeep<Platform::StoreProtocol> upkeep(
+        loop,
+        Platform::StoreProtocol(),
+        {.store = store.endpoint()},
+        {.mirror = mirror, .fleet = fleet, .known = known, .metrics = metrics},
+        [] {
+            return false;
+        },
+        [&](const MirrorChanges &) {
+            follow();
+        });
+    // The steps are seconds apart, so the test gives the times.
+    Instant now = ProcessClock::now();
+    REQUIRE(runUntil(loop, [&] {
+        now += 10s;
+        upkeep.tick(now);
+        return store.entries.empty();
+    }));
+    std::vector<std::string> deletions;
+    for (const std::string &call : store.calls) {
+        if (call.starts_with("DELETE")) {
+            deletions.push_back(call.substr(call.rfind('/') + 1));
+        }
+    }
+    REQUIRE(deletions.size() >= 2);
+    CHECK(deletions.front().starts_with("b?"));
+    CHECK(deletions.back().starts_with("b.departed?"));
+}
--- a/tests/edge/stateservicetest.cpp
+++ b/tests/edge/stateservicetest.cpp
@@ -33,6 +33,8 @@
                     {.calls = {.store = m_server.endpoint()}, .instanceName = "a", .readsEvacuations = readsEvacuations},
                     mirror,
                     m_replicator,
+                    m_fleet,
+                    m_known,
                     m_metrics,
                     [](const MirrorChanges &) {})
     {
@@ -67,6 +69,7 @@
     ScriptedServer m_server;
     Metrics m_metrics;
     Fleet m_fleet;
+    KnownInstances m_known;
     Router m_router;
     StateReplicator m_replicator;
     StateService<Platform::StoreProtocol> m_service;
--- a/tests/platform/storeprotocoltest.cpp
+++ b/tests/platform/storeprotocoltest.cpp
@@ -54,6 +54,26 @@
     CHECK(record.incarnation == Incarnation(1700));
 }
 
+TEST_CASE("store protocol: registrations and departures of instances are read as they were written")
+{
+    for (const bool isDeparture : {false, true}) {
+        CAPTURE(isDeparture);
+        const InstanceRecord record{.peerAddress = "10.0.0.1:7661", .isDeparture = isDeparture};
+        std::string object = Protocol.createInstanceRequest("a", record).body;
+        const std::string metadata = R"("metadata":{"name":"a")";
+        REQUIRE(object.find(metadata) != std::string::npos);
+        object.insert(object.find(metadata) + metadata.size(), R"(,"revision":7)");
+        const StatePage read = page(StateKind::Instances, object);
+        REQUIRE(read.objects.size() == 1);
+        CHECK(std::get<InstanceRecord>(read.objects[0].value) == record);
+    }
+    const StoreRequest request = Protocol.deleteInstanceRequest("a/b?c", Revision(7));
+    CHECK(request.method == "DELETE");
+    CHECK(request.target == "/api/objects/filbertmount-instances/a%2Fb%3Fc?revision=7");
+    CHECK(problemOf(Protocol.parseWriteResponse(404, "")) == StoreProblem::Missing);
+    CHECK(problemOf(Protocol.parseWriteResponse(409, "")) == StoreProblem::Conflict);
+}
+
 TEST_CASE("store protocol: an invalid upstream entry is rejected and leaves the others valid")
 {
     struct Row {
