Never ask this instance itself for the state of others

What callers saw: nothing so far; a pull was lost now and then, and the next one came after a wait of 100 ms or more.

Cause: when the announcing instance is no coordinator, the state is pulled from one of the coordinators, and the instance itself may be one of them. Since an instance without others counts itself, this is so for every instance until it follows the members.

--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -277,8 +277,14 @@
 
 InstanceId StateReplicator::pullSource(const InstanceId &from)
 {
-    const bool isNotCoordinator = std::find(m_coordinators.begin(), m_coordinators.end(), from) == m_coordinators.end();
-    return isNotCoordinator && !m_coordinators.empty() ? m_coordinators[m_nextPullSource++ % m_coordinators.size()] : from;
+    const bool isCoordinator = std::find(m_coordinators.begin(), m_coordinators.end(), from) != m_coordinators.end();
+    for (std::size_t tries = 0; !isCoordinator && tries < m_coordinators.size(); ++tries) {
+        const InstanceId &source = m_coordinators[m_nextPullSource++ % m_coordinators.size()];
+        if (source != m_fleet.self()) {
+            return source;
+        }
+    }
+    return from;
 }
 
 void StateReplicator::sendToAllOrCoordinators(const Wire::Envelope &envelope)
