Tell a delta to configuration version 0 from a complete route set

Cause: on the wire, a base version of 0 meant that the message is no delta, and proto3 does not distinguish 0 from an absent number. A delta to version 0 was taken for a complete set. The digests covered the version and the accounts, not the routes, so nobody noticed, and later deltas were added to the wrong set.

Evidence: all receivers logged "routes in force" with version 3 and one route, the reader had all. Ruled out: a lost change and a wrong parse. Before the change, the new tests get no delta for base 0, and 1 of 5 routes.

Change: the base version has explicit presence; other deltas are encoded as before. Digests have a hash of the routes. An instance whose routes differ under the same version pulls the state and accepts it.

Same cause: the hash of version 0 equals that of no route set, so an instance without routes took itself for up to date. The tests of both fail when the hash of the routes is not compared or the contradiction is not recorded.

--- a/include/filbertmount/edge/statemirror.h
+++ b/include/filbertmount/edge/statemirror.h
@@ -111,6 +111,11 @@
      * @p revision.
      */
     void advanceRevision(StateKind kind, Revision revision);
+    /**
+     * Records that the instance that reads the store has other routes under the same version. The next route set of at least this
+     * version replaces those in force, also when it comes from another instance.
+     */
+    void recordContradiction();
     /** Records whether the store responded to a call, to detect outages. */
     void recordStoreCall(bool hasResponded, Instant now);
     /** What is known about the reachability of the store; decides whether a deletion may be an expiry. */
@@ -138,6 +143,8 @@
     [[nodiscard]] std::optional<std::vector<StateChange>> upstreamChangesSince(Revision from, Instant now) const;
     /** Hash over all objects of @p kind, independent of the order in which they arrived. */
     [[nodiscard]] std::uint64_t hash(StateKind kind) const;
+    /** Returns routesHash() of the route set in force; 0 if there is none. */
+    [[nodiscard]] std::uint64_t routesHash() const;
     /** Revision from which a watch of @p kind starts; empty before the first listing. */
     [[nodiscard]] std::optional<Revision> revision(StateKind kind) const;
 
@@ -171,15 +178,17 @@
         std::optional<PossibleExpiry> expiry;
     };
 
-    void apply(StateKind kind, StateObject object, MirrorChanges &changes);
+    void apply(StateKind kind, StateObject object, StateSource source, MirrorChanges &changes);
     /** Adds a malformed object to @p changes unless the same revision of it was rejected before. */
     void reject(const StateObject &object, const std::string &reason, MirrorChanges &changes);
-    void applyRoutes(StateObject object, MirrorChanges &changes);
+    void applyRoutes(StateObject object, StateSource source, MirrorChanges &changes);
     /**
      * Whether @p received replaces the routes in force: its version is higher, or it is the same and the accounts differ, because
      * the store changed them later or those in force came through an instance of a program version that does not pass them on.
      */
     [[nodiscard]] bool isNewer(const RouteSet &received, Revision revision) const;
+    /** Whether @p received has other routes under the known version, and the known ones may be wrong. */
+    [[nodiscard]] bool isCorrection(const RouteSet &received, Revision revision, StateSource source) const;
     void applyUpstream(StateObject object, MirrorChanges &changes);
     void remove(StateKind kind, const Deletion &deletion, Instant now, MirrorChanges &changes);
     void removeUpstream(const Deletion &deletion, Instant now, MirrorChanges &changes);
@@ -198,6 +207,7 @@
 
     StateMirrorOptions m_options;
     std::shared_ptr<const RouteIndex> m_routes;
+    bool m_areRoutesContradicted = false;
     std::string m_routesName;
     Revision m_routesRevision;
     std::map<std::string, UpstreamEntry> m_upstreams;
--- a/include/filbertmount/routes/routeset.h
+++ b/include/filbertmount/routes/routeset.h
@@ -88,6 +88,8 @@
 
 /** Returns a hash over the accounts and whether a key is required; 0 for a route set without accounts. */
 std::uint64_t accessHash(const RouteSet &routes);
+/** Returns a hash over the routes as another instance receives them, independent of their order. */
+std::uint64_t routesHash(const RouteSet &routes);
 
 /** Finds the route and the account of a request. Immutable, so requests in progress keep using the version they started with. */
 class RouteIndex
@@ -110,6 +112,8 @@
     [[nodiscard]] const ClientAccount *findAccount(const Sha256Digest &digest) const;
     /** Returns accessHash() of the route set. */
     [[nodiscard]] std::uint64_t accessHash() const;
+    /** Returns routesHash() of the route set. */
+    [[nodiscard]] std::uint64_t routesHash() const;
 
 private:
     RouteSet m_routes;
@@ -117,6 +121,7 @@
     absl::flat_hash_map<std::string, std::vector<std::size_t>> m_byHost;
     AccountIndex m_accounts;
     std::uint64_t m_accessHash = 0;
+    std::uint64_t m_routesHash = 0;
 };
 
 /** Returns @p host in lower case and without a port. */
--- a/src/edge/statemirror.cpp
+++ b/src/edge/statemirror.cpp
@@ -104,7 +104,7 @@
         }
     }
     for (StateObject &object : objects) {
-        apply(kind, std::move(object), changes);
+        apply(kind, std::move(object), source, changes);
     }
     m_revisions[kind] = storeRevision;
     if (kind == StateKind::Upstreams) {
@@ -156,7 +156,7 @@
                    now,
                    changes);
         } else {
-            apply(kind, change.object, changes);
+            apply(kind, change.object, source, changes);
         }
     }
     advanceRevision(kind, received.storeRevision);
@@ -169,7 +169,7 @@
     known = std::max(known, revision);
 }
 
-void StateMirror::apply(StateKind kind, StateObject object, MirrorChanges &changes)
+void StateMirror::apply(StateKind kind, StateObject object, StateSource source, MirrorChanges &changes)
 {
     if (const auto *malformed = std::get_if<MalformedObject>(&object.value)) {
         reject(object, malformed->reason, changes);
@@ -178,7 +178,7 @@
     m_rejected.erase(object.name);
     switch (kind) {
     case StateKind::Routes:
-        applyRoutes(std::move(object), changes);
+        applyRoutes(std::move(object), source, changes);
         break;
     case StateKind::Upstreams:
         applyUpstream(std::move(object), changes);
@@ -208,12 +208,13 @@
     changes.rejected.emplace_back(object.name, reason);
 }
 
-void StateMirror::applyRoutes(StateObject object, MirrorChanges &changes)
+void StateMirror::applyRoutes(StateObject object, StateSource source, MirrorChanges &changes)
 {
     const auto &routes = std::get<RouteSet>(object.value);
-    if (m_routes && !isNewer(routes, object.revision)) {
+    if (m_routes && !isNewer(routes, object.revision) && !isCorrection(routes, object.revision, source)) {
         return;
     }
+    m_areRoutesContradicted = false;
     m_routes = std::make_shared<const RouteIndex>(routes);
     m_routesName = object.name;
     m_routesRevision = object.revision;
@@ -228,6 +229,18 @@
     return received.version > m_routes->version() || (isSame && addsAccounts) || changesAccounts;
 }
 
+bool StateMirror::isCorrection(const RouteSet &received, Revision revision, StateSource source) const
+{
+    const bool mayCorrect = source == StateSource::Store || m_areRoutesContradicted;
+    return mayCorrect && received.version == m_routes->version() && revision >= m_routesRevision
+        && Filbertmount::routesHash(received) != m_routes->routesHash();
+}
+
+void StateMirror::recordContradiction()
+{
+    m_areRoutesContradicted = true;
+}
+
 void StateMirror::applyUpstream(StateObject object, MirrorChanges &changes)
 {
     const auto known = m_upstreams.find(object.name);
@@ -479,6 +492,11 @@
     return kind == StateKind::Evacuations ? m_evacuations.hash() : m_upstreamsHash;
 }
 
+std::uint64_t StateMirror::routesHash() const
+{
+    return m_routes ? m_routes->routesHash() : 0;
+}
+
 std::optional<Revision> StateMirror::revision(StateKind kind) const
 {
     const auto known = m_revisions.find(kind);
--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -66,6 +66,9 @@
     digest.set_kind(*toWire(kind));
     digest.set_revision(m_mirror.revision(kind).value_or(Revision()).value());
     digest.set_hash(m_mirror.hash(kind));
+    if (kind == StateKind::Routes) {
+        digest.set_routes_hash(m_mirror.routesHash());
+    }
     const Instant confirmedAt = m_kinds.at(kind).confirmedAt.value_or(now);
     digest.set_age_us(toMicroseconds(now - confirmedAt));
     if (const std::optional<ContactSpan> &span = m_mirror.contact().span()) {
@@ -317,7 +320,17 @@
     if (theirs >= state.announced.revision) {
         state.announced = {.revision = theirs, .hash = digest.hash()};
     }
-    if (own && digest.hash() == m_mirror.hash(*kind)) {
+    const bool hasSameObjects = own && digest.hash() == m_mirror.hash(*kind);
+    const bool hasOtherRoutes =
+        hasSameObjects && *kind == StateKind::Routes && digest.has_routes_hash() && digest.routes_hash() != m_mirror.routesHash();
+    if (hasOtherRoutes) {
+        logLine(
+            LogLevel::Warning,
+            "another instance has other routes under the same version",
+            {{.name = "from", .value = from.value()}, {.name = "revision", .value = static_cast<std::int64_t>(theirs.value())}});
+        m_mirror.recordContradiction();
+    }
+    if (hasSameObjects && !hasOtherRoutes) {
         m_mirror.advanceRevision(*kind, theirs);
         state.pulls.reset();
         state.wasLastFetchListing = false;
--- a/src/edge/statewire.cpp
+++ b/src/edge/statewire.cpp
@@ -382,7 +382,7 @@
 
 std::optional<RouteSetDelta> deltaFromWire(const Wire::SharedObject &object)
 {
-    if (!object.has_routes() || object.routes().base_version() == 0) {
+    if (!object.has_routes() || !object.routes().has_base_version()) {
         return std::nullopt;
     }
     const Wire::SharedRouteSet &wire = object.routes();
--- a/src/routes/routeset.cpp
+++ b/src/routes/routeset.cpp
@@ -1,6 +1,11 @@
 #include <filbertmount/routes/routeset.h>
 
+#include "peer/wiretime.h"
+
+#include <filbertmount/types/rendezvoushash.h>
+
 #include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
 
 #include <algorithm>
 
@@ -20,6 +25,32 @@
     return target.substr(0, std::min(target.find('?'), target.size()));
 }
 
+/** Microseconds of @p duration as an instance receives it from another one. */
+std::uint64_t asReceived(Duration duration)
+{
+    return toMicroseconds(fromMicroseconds(toMicroseconds(duration)));
+}
+
+std::uint64_t hashOf(const ForwardRoute &route)
+{
+    // A route's own texts contain no line break.
+    std::string text = absl::StrCat(route.name, "\n", route.host, "\n", route.pathPrefix, "\n");
+    absl::StrAppend(&text,
+                    asReceived(route.timeout),
+                    " ",
+                    asReceived(route.latencyObjective),
+                    " ",
+                    route.rank,
+                    " ",
+                    route.maxAttempts,
+                    route.isRepeatable ? " repeatable" : "",
+                    route.isKeyExempt ? " exempt" : "");
+    for (const ForwardTarget &target : route.targets) {
+        absl::StrAppend(&text, "\n", target.weight, " ", target.service.value());
+    }
+    return stableHash(text);
+}
+
 } // namespace
 
 std::string normalizedHost(std::string_view host)
@@ -35,10 +66,20 @@
     return routes.requiresKey ? accountsHash(routes.accounts) + 1 : 0;
 }
 
+std::uint64_t routesHash(const RouteSet &routes)
+{
+    std::uint64_t hash = 0;
+    for (const ForwardRoute &route : routes.routes) {
+        hash += hashOf(route);
+    }
+    return hash;
+}
+
 RouteIndex::RouteIndex(RouteSet routes)
     : m_routes(std::move(routes))
     , m_accounts(m_routes.accounts)
     , m_accessHash(Filbertmount::accessHash(m_routes))
+    , m_routesHash(Filbertmount::routesHash(m_routes))
 {
     for (std::size_t position = 0; position < m_routes.routes.size(); ++position) {
         m_byHost[m_routes.routes[position].host].push_back(position);
@@ -70,6 +111,11 @@
     return m_accessHash;
 }
 
+std::uint64_t RouteIndex::routesHash() const
+{
+    return m_routesHash;
+}
+
 const ForwardRoute *RouteIndex::find(std::string_view host, std::string_view target) const
 {
     const auto positions = m_byHost.find(normalizedHost(host));
--- a/tests/edge/statereplicatortest.cpp
+++ b/tests/edge/statereplicatortest.cpp
@@ -154,6 +154,62 @@
     CHECK(reads == 0);
 }
 
+// The operator may begin with version 0; after the first change, all instances but the reader answered 404 on the other routes.
+TEST_CASE("state replicator: changes of few routes keep the routes of every earlier version, also of version 0")
+{
+    IoLoop loop{1};
+    Node reader{loop, "127.0.0.31", {}};
+    Node other{loop, "127.0.0.32", {std::string("127.0.0.31") + PeerPort}};
+    REQUIRE(runUntil(loop, [&] {
+        return reader.fleet.memberCount() == 2 && other.fleet.memberCount() == 2;
+    }));
+    // Only after a second response are changes sent as deltas.
+    reader.applyStoreResponse(routes(0, 4), 10);
+    int count = 4;
+    for (const std::uint64_t version : {0, 3, 4}) {
+        CAPTURE(version);
+        reader.applyStoreResponse(routes(version, count), 10 + version);
+        REQUIRE(runUntil(loop, [&] {
+            return other.has(version);
+        }));
+        CHECK(other.mirror.routes()->routes().routes.size() == static_cast<std::size_t>(count));
+        ++count;
+    }
+}
+
+// A route set that was assembled wrongly stayed in force, since the digests covered the version and the accounts only.
+TEST_CASE("state replicator: an instance with other routes under the same version gets those of the reader")
+{
+    Pair pair;
+    RouteSet wrong = routes(2, 5);
+    wrong.routes.erase(wrong.routes.begin());
+    pair.other.mirror.applyListing(
+        StateKind::Routes, {{.name = "main", .revision = Revision(11), .value = wrong}}, Revision(11), ProcessClock::now());
+    REQUIRE(pair.other.mirror.routes()->routes().routes.size() == 4);
+    pair.reader.applyStoreResponse(routes(2, 5), 11);
+    pair.reader.applyStoreResponse(routes(2, 5), 12);
+    CHECK(runUntil(pair.loop, [&] {
+        return pair.other.mirror.routes()->routes().routes.size() == 5;
+    }));
+}
+
+// Version 0 has the same hash as no route set: an instance that had read the store before the first configuration took itself for
+// up to date.
+TEST_CASE("state replicator: an instance without routes gets those of version 0")
+{
+    IoLoop loop{1};
+    Node reader{loop, "127.0.0.31", {}};
+    Node other{loop, "127.0.0.32", {std::string("127.0.0.31") + PeerPort}};
+    other.mirror.applyListing(StateKind::Routes, {}, Revision(5), ProcessClock::now());
+    REQUIRE(runUntil(loop, [&] {
+        return reader.fleet.memberCount() == 2 && other.fleet.memberCount() == 2;
+    }));
+    reader.applyStoreResponse(routes(0, 4), 10);
+    CHECK(runUntil(loop, [&] {
+        return other.has(0);
+    }));
+}
+
 namespace {
 
 /** A version whose only account has the key named after the version, and in version 1 also the key "removed". */
--- a/tests/edge/statewiretest.cpp
+++ b/tests/edge/statewiretest.cpp
@@ -141,6 +141,48 @@
     CHECK_FALSE(deltaFromWire(toWire(change)).has_value());
 }
 
+// A delta to version 0 was taken for a complete set, so all routes that had not changed were gone on most instances.
+TEST_CASE("state wire: a delta to any version is told from a complete set")
+{
+    for (const std::uint64_t base : {0, 1, 5}) {
+        CAPTURE(base);
+        RouteSet before{.version = RouteSetVersion(base), .routes = {{.name = "a", .targets = {{.service = ServiceName("s")}}}}};
+        RouteSet after = before;
+        after.version = RouteSetVersion(base + 3);
+        after.routes.push_back({.name = "b", .targets = {{.service = ServiceName("s")}}});
+        const StateChange change{.object = {.name = "main", .revision = Revision(3), .value = after}};
+        const std::optional<RouteSetDelta> received = deltaFromWire(toWire(change, computeDelta(before, after).value()));
+        REQUIRE(received.has_value());
+        CHECK(applyDelta(before, *received).value().routes == after.routes);
+        CHECK_FALSE(deltaFromWire(toWire(change)).has_value());
+    }
+}
+
+// A hash that differed after the way over the network would make instances ask each other for the same routes for ever.
+TEST_CASE("state wire: routes have the same hash on the instance that receives them")
+{
+    const ForwardRoute full{.name = "a",
+                            .host = "h",
+                            .pathPrefix = "/a/",
+                            .isRepeatable = true,
+                            .timeout = std::chrono::hours(48) + std::chrono::nanoseconds(1),
+                            .latencyObjective = std::chrono::nanoseconds(1500),
+                            .rank = 3,
+                            .maxAttempts = 2,
+                            .targets = {{.service = ServiceName("s"), .weight = 3}, {.service = ServiceName("t"), .weight = 1}},
+                            .isKeyExempt = true};
+    ForwardRoute other = full;
+    other.targets[0].weight = 2;
+    const RouteSet sent{.version = RouteSetVersion(0),
+                        .routes = {full, {.name = "b", .targets = {{.service = ServiceName("s")}}}}};
+    const StateChange change{.object = {.name = "main", .revision = Revision(3), .value = sent}};
+    const auto received = std::get<RouteSet>(fromWire(toWire(change), StateKind::Routes).value().object.value);
+    CHECK(routesHash(received) == routesHash(sent));
+    CHECK(routesHash({.version = {}, .routes = {full}}) != routesHash({.version = {}, .routes = {other}}));
+    const RouteSet reversed{.version = {}, .routes = {sent.routes[1], sent.routes[0]}};
+    CHECK(routesHash(reversed) == routesHash(sent));
+}
+
 // One response from the store may contain several versions of the route set. Joining three versions into one, with the number
 // of the first and the routes of all, made removed routes handle requests.
 TEST_CASE("state wire: of several versions of the routes in one response, only the last one is sent, unchanged")
