Recognise a crashing request at all services that its route is split between

Cause: the fingerprint of a request contained the service that the split had drawn, so strikes at one service did not count at another. Besides, only crashes of two different upstream ids counted, which a service with one upstream never has.

Evidence: each service refused the request on all instances after its own third crash, and the next service ran it again. Ruled out: strikes that do not reach other instances, and a quarantine that ends too early.

Change: the fingerprint has the host, each strike its service. Crashes at two services quarantine the request at all of them, except where it succeeded recently; crashes at one service quarantine it there. A fingerprint without the service alone would refuse a request everywhere when a new version on a few upstreams crashes on it.

--- a/include/filbertmount/quarantine/crashquarantine.h
+++ b/include/filbertmount/quarantine/crashquarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <filbertmount/peer/peersender.h>
+#include <filbertmount/quarantine/crashevidence.h>
 #include <filbertmount/types/ids.h>
 #include <filbertmount/types/instant.h>
 
@@ -18,12 +19,17 @@
 
 namespace Filbertmount {
 
-/** First 128 bits of the SHA-256 over service, method, target and body hash of a request. */
+/** First 128 bits of the SHA-256 over scope, method, target and body hash of a request. */
 using CrashFingerprint = std::array<std::uint8_t, 16>;
 
-/** Computes the fingerprint of a request. @p bodyHash may have any length; it is empty for a request without a body. */
+/**
+ * Computes the fingerprint of a request.
+ *
+ * @param scope separates requests that are alike by chance: the host, or the service where requests do not choose between several
+ * @param bodyHash may have any length; empty for a request without a body
+ */
 CrashFingerprint
-crashFingerprint(const ServiceName &service, const std::string &method, const std::string &target, const std::string &bodyHash);
+crashFingerprint(const std::string &scope, const std::string &method, const std::string &target, const std::string &bodyHash);
 
 /** Retention and memory limits of the quarantine. */
 struct CrashQuarantineOptions {
@@ -33,7 +39,7 @@
     std::size_t maxSuspects = 4096;
     /** Maximum number of fingerprints with strikes that a single peer may add. */
     std::size_t maxSuspectsPerPeer = 512;
-    /** Maximum number of fingerprints whose last success is recorded. */
+    /** Maximum number of requests whose last success at a service is recorded. */
     std::size_t maxSuccesses = 8192;
     /** Maximum number of requests per fingerprint that wait for the running one to end. */
     std::size_t maxWaiting = 256;
@@ -52,7 +58,7 @@
     Run,
     /** Another request with the same fingerprint is running; a decision follows when it has ended. */
     Wait,
-    /** Refuse as not run: requests like this one have crashed two upstreams. */
+    /** Refuse as not run: requests like this one have crashed several upstreams. */
     Quarantined,
     /** Refuse as not run: too many requests with the same fingerprint wait. */
     Busy,
@@ -69,9 +75,11 @@
  * Limits how many upstreams a crashing request takes down. Not thread-safe.
  *
  * A request whose upstream crashes gets a strike, which is sent to all members. A request with strikes runs once at a time
- * (a run under suspicion). It is quarantined, that is refused, when a run under suspicion crashes a different upstream
- * than another run did. Strikes from runs without suspicion do not suffice: when upstreams crash at the same time, as in the loss
- * of a zone, all requests that they ran get a strike.
+ * (a run under suspicion). It is quarantined, that is refused, for a service when the strikes there suffice
+ * (confirmsCrashesOf()), and for all services that it may go to when upstreams of two of them crashed (confirmsCrashesOfAll()),
+ * except for those at which it succeeded recently: a new version of the software on some of the upstreams must not keep requests
+ * from the others. Strikes from runs without suspicion do not suffice: when upstreams crash at the same time, as in the loss of a
+ * zone, all requests that they ran get a strike.
  *
  * Strikes are kept in memory only. Each is sent once when it occurs; an instance that missed it, or that started later, gets it
  * with the history of another one (see CrashHistorySync). The age of a strike is passed on with it, so it expires everywhere at
@@ -87,7 +95,7 @@
     /** Withdraws a waiting request. */
     void withdraw(RequestId request, const CrashFingerprint &fingerprint);
 
-    /** Ends an attempt whose upstream sent a complete response; clears the strikes of the request. */
+    /** Ends an attempt whose upstream sent a complete response; clears the strikes of the request at this service. */
     void succeeded(const CrashTicket &ticket, Instant now);
     /** Ends an attempt whose upstream closed the connection after bytes were sent and before the response was complete. */
     void crashed(const CrashTicket &ticket, const UpstreamId &upstream, Instant now);
@@ -125,82 +133,77 @@
     [[nodiscard]] std::size_t quarantined(Instant now) const;
 
 private:
-    /** The crash of an upstream during a run of the request. */
-    struct Strike {
-        UpstreamId upstream;
-        /** The instance that ran the request. */
-        InstanceId origin;
-        /** The instance that sent the strike to this one: the origin, or one that passed its history on. */
-        InstanceId reporter;
-        /** Number of the origin's message; identifies the strike together with the origin. */
-        std::uint64_t sequence = 0;
-        /** The run started when strikes of the request were already known. */
-        bool underSuspicion = false;
-        Instant at;
-    };
     /** A request that has, or had, strikes. */
     struct Suspect {
-        ServiceName service;
-        std::vector<Strike> strikes;
-        /** Peers whose clearing was applied. Each may clear once, so that a faulty peer cannot hide a crashing request. */
-        std::vector<InstanceId> clearedBy;
-        /** Time of the last clearing; strikes from before it are not applied again. */
-        std::optional<Instant> clearedAt;
+        std::vector<CrashEvidence> strikes;
+        /** Clearings of peers that were applied. Each may clear once, so that a faulty peer cannot hide a crashing request. */
+        std::vector<std::pair<ServiceName, InstanceId>> clearedBy;
+        /** Time of the last clearing at a service; strikes from before it are not applied again. */
+        std::map<ServiceName, Instant> clearedAt;
         /** Number of the run under suspicion; 0 while there is none. */
         std::uint64_t run = 0;
-        std::deque<RequestId> waiting;
+        std::deque<std::pair<RequestId, ServiceName>> waiting;
         Instant lastStrike;
-        Instant quarantinedUntil;
+        /** By the service whose upstreams the request crashes. */
+        std::map<ServiceName, Instant> quarantinedUntil;
+        /** Also for services without strikes, unless the request succeeded there recently. */
+        Instant quarantinedAtAllUntil;
     };
     /** The highest sequence number received from a peer and a bit mask of the 64 numbers up to it that were received. */
     struct ReceivedSequences {
         std::uint64_t highest = 0;
         std::uint64_t receivedBits = 0;
     };
-    using Successes = std::list<std::pair<CrashFingerprint, Instant>>;
+    /** A request at a service. */
+    using SuccessKey = std::pair<CrashFingerprint, ServiceName>;
+    using Successes = std::list<std::pair<SuccessKey, Instant>>;
 
-    void addStrike(const ServiceName &service, const CrashFingerprint &fingerprint, const Strike &strike);
+    void addStrike(const CrashFingerprint &fingerprint, const CrashEvidence &strike);
     /** Applies one strike of a history; returns whether it is new. */
     bool receiveEntry(const InstanceId &from, const Wire::CrashStrike &message, Instant now);
     /** Whether a strike of the request at @p time is no longer valid, because the request succeeded or was cleared later. */
-    [[nodiscard]] bool wasClearedSince(const CrashFingerprint &fingerprint, Instant time) const;
+    [[nodiscard]] bool wasClearedSince(const CrashFingerprint &fingerprint, const ServiceName &service, Instant time) const;
     [[nodiscard]] bool isKnown(const CrashFingerprint &fingerprint, const InstanceId &origin, std::uint64_t sequence) const;
     /** Calls @p visit with the fingerprint, suspect and strike of each strike that has not expired. */
     template<class Visitor>
     void visitStrikes(Instant now, Visitor visit) const;
+    /** Quarantines the request at the service of @p strike, or at all, when its strikes suffice now. */
+    void updateQuarantine(const CrashFingerprint &fingerprint, Suspect &suspect, const CrashEvidence &strike);
     /**
-     * Quarantines the request when its strikes suffice. After a recent success, they must also suffice when those of any one peer
-     * are left out.
-     */
-    void updateQuarantine(const CrashFingerprint &fingerprint, Suspect &suspect, Instant now);
-    /**
-     * Returns whether a run under suspicion crashed a different upstream than another run; ignores those that @p excludedPeer ran
-     * or reported.
+     * Whether the strikes show that the request crashes the upstreams of @p service. After a recent success there, they must also
+     * show it when those of any one peer are left out, because any single peer may be faulty.
      */
-    static bool confirmsCrashes(const std::vector<Strike> &strikes, const InstanceId &excludedPeer);
-    /** Returns whether confirmsCrashes() holds for each peer as the excluded one, because any single peer may be faulty. */
-    [[nodiscard]] bool confirmsCrashesWithoutAnySinglePeer(const std::vector<Strike> &strikes) const;
+    [[nodiscard]] bool
+    isConfirmed(const CrashFingerprint &fingerprint, const Suspect &suspect, const ServiceName &service, Instant now) const;
+    [[nodiscard]] bool
+    isQuarantined(const CrashFingerprint &fingerprint, const Suspect &suspect, const ServiceName &service, Instant now) const;
+    /** Whether runs at @p service are under suspicion: there are strikes there, or elsewhere and no recent success there. */
+    [[nodiscard]] bool
+    isSuspected(const CrashFingerprint &fingerprint, const Suspect &suspect, const ServiceName &service, Instant now) const;
     void endRun(const CrashTicket &ticket, Instant now);
     /** Admits the request that has waited longest. */
     void admitNextWaiting(const CrashFingerprint &fingerprint, Suspect &suspect);
-    void clearStrikes(const CrashFingerprint &fingerprint);
-    void clearByPeer(const CrashFingerprint &fingerprint, const InstanceId &from, Instant now);
-    void decideAllWaiting(const CrashFingerprint &fingerprint, Suspect &suspect, CrashAdmission admission);
+    /** Removes the strikes at @p service. */
+    void clearStrikes(const CrashFingerprint &fingerprint, Suspect &suspect, const ServiceName &service, Instant now);
+    void clearByPeer(const CrashFingerprint &fingerprint, const ServiceName &service, const InstanceId &from, Instant now);
+    /** Decides on the waiting requests that are quarantined or no longer under suspicion. */
+    void decideWaiting(const CrashFingerprint &fingerprint, Suspect &suspect, Instant now);
+    void admitAllWaiting(const CrashFingerprint &fingerprint, Suspect &suspect);
     void evictOldestSuspectIfFull();
-    void recordSuccess(const CrashFingerprint &fingerprint, Instant now);
-    [[nodiscard]] bool succeededRecently(const CrashFingerprint &fingerprint, Instant now) const;
+    void recordSuccess(const SuccessKey &key, Instant now);
+    [[nodiscard]] bool succeededRecently(const SuccessKey &key, Instant now) const;
     /** Records the sequence number of a message. Returns false for a repeated or very old one. */
     bool recordSequence(const InstanceId &origin, std::uint64_t sequence);
-    void queueMessage(const CrashTicket &ticket, const Strike &strike, bool cleared);
-    static Strike fromWire(const Wire::CrashStrike &message, const InstanceId &reporter, Instant at);
-    static Wire::CrashStrike toWire(const ServiceName &service, const CrashFingerprint &fingerprint, const Strike &strike);
+    void queueMessage(const CrashFingerprint &fingerprint, const CrashEvidence &strike, bool cleared);
+    static CrashEvidence fromWire(const Wire::CrashStrike &message, const InstanceId &reporter, Instant at);
+    static Wire::CrashStrike toWire(const CrashFingerprint &fingerprint, const CrashEvidence &strike);
 
     const InstanceId m_self;
     const CrashQuarantineOptions m_options;
     std::map<CrashFingerprint, Suspect> m_suspects;
-    /** Fingerprints and the times of their last success, oldest first. */
+    /** Requests and the times of their last success, oldest first. */
     Successes m_successes;
-    std::map<CrashFingerprint, Successes::iterator> m_successIndex;
+    std::map<SuccessKey, Successes::iterator> m_successIndex;
     std::map<InstanceId, ReceivedSequences> m_sequences;
     std::vector<CrashDecision> m_decisions;
     std::vector<Wire::CrashStrike> m_messages;
--- a/src/edge/forwardedcall.cpp
+++ b/src/edge/forwardedcall.cpp
@@ -26,7 +26,8 @@
         const Sha256Digest digest = sha256(httpRequest.body);
         bodyHash.assign(digest.begin(), digest.end());
     }
-    return crashFingerprint(request.service, httpRequest.method, httpRequest.target, bodyHash);
+    // Not the service: a route may split its requests between several, and the same request would crash the upstreams of each.
+    return crashFingerprint(request.route->host, httpRequest.method, httpRequest.target, bodyHash);
 }
 
 bool mayHaveRunAfter(AttemptEnd end)
--- a/src/proxy/exchangecrashes.cpp
+++ b/src/proxy/exchangecrashes.cpp
@@ -19,7 +19,7 @@
     const absl::MutexLock lock(&m_mutex);
     // A body that exceeds the buffer is identified by its beginning.
     const Sha256Digest body = sha256(m_body.buffered());
-    m_fingerprint = crashFingerprint(m_document->service, m_head.method, m_head.target, {body.begin(), body.end()});
+    m_fingerprint = crashFingerprint(m_document->service.value(), m_head.method, m_head.target, {body.begin(), body.end()});
 }
 
 void Exchange::startPlacement(bool hedge)
--- a/src/quarantine/crashquarantine.cpp
+++ b/src/quarantine/crashquarantine.cpp
@@ -44,10 +44,10 @@
 } // namespace
 
 CrashFingerprint
-crashFingerprint(const ServiceName &service, const std::string &method, const std::string &target, const std::string &bodyHash)
+crashFingerprint(const std::string &scope, const std::string &method, const std::string &target, const std::string &bodyHash)
 {
     std::string text;
-    for (const std::string *part : {&service.value(), &method, &target, &bodyHash}) {
+    for (const std::string *part : {&scope, &method, &target, &bodyHash}) {
         appendPart(&text, *part);
     }
     const Sha256Digest digest = sha256(text);
@@ -71,10 +71,13 @@
         return decision;
     }
     Suspect &suspect = found->second;
-    if (suspect.quarantinedUntil > now) {
+    if (isQuarantined(fingerprint, suspect, service, now)) {
         decision.admission = CrashAdmission::Quarantined;
         return decision;
     }
+    if (!isSuspected(fingerprint, suspect, service, now)) {
+        return decision;
+    }
     if (suspect.run == 0) {
         suspect.run = ++m_lastRun;
         decision.ticket.run = suspect.run;
@@ -84,7 +87,7 @@
         decision.admission = CrashAdmission::Busy;
         return decision;
     }
-    suspect.waiting.push_back(request);
+    suspect.waiting.emplace_back(request, service);
     decision.admission = CrashAdmission::Wait;
     return decision;
 }
@@ -93,30 +96,40 @@
 {
     const auto found = m_suspects.find(fingerprint);
     if (found != m_suspects.end()) {
-        std::erase(found->second.waiting, request);
+        std::erase_if(found->second.waiting, [request](const auto &waiting) {
+            return waiting.first == request;
+        });
     }
 }
 
 void CrashQuarantine::succeeded(const CrashTicket &ticket, Instant now)
 {
-    recordSuccess(ticket.fingerprint, now);
-    if (m_suspects.count(ticket.fingerprint) == 0) {
+    recordSuccess({ticket.fingerprint, ticket.service}, now);
+    const auto found = m_suspects.find(ticket.fingerprint);
+    if (found == m_suspects.end()) {
         return;
     }
-    clearStrikes(ticket.fingerprint);
-    queueMessage(ticket, {}, true);
+    clearStrikes(ticket.fingerprint, found->second, ticket.service, now);
+    queueMessage(ticket.fingerprint, {.service = ticket.service}, true);
+    if (!found->second.strikes.empty()) {
+        endRun(ticket, now);
+        return;
+    }
+    admitAllWaiting(ticket.fingerprint, found->second);
+    m_suspects.erase(found);
 }
 
 void CrashQuarantine::crashed(const CrashTicket &ticket, const UpstreamId &upstream, Instant now)
 {
-    const Strike localStrike{.upstream = upstream,
-                             .origin = m_self,
-                             .reporter = m_self,
-                             .sequence = m_lastSequence + 1,
-                             .underSuspicion = ticket.run != 0,
-                             .at = now};
-    addStrike(ticket.service, ticket.fingerprint, localStrike);
-    queueMessage(ticket, localStrike, false);
+    const CrashEvidence localStrike{.service = ticket.service,
+                                    .upstream = upstream,
+                                    .origin = m_self,
+                                    .reporter = m_self,
+                                    .sequence = m_lastSequence + 1,
+                                    .underSuspicion = ticket.run != 0,
+                                    .at = now};
+    addStrike(ticket.fingerprint, localStrike);
+    queueMessage(ticket.fingerprint, localStrike, false);
     endRun(ticket, now);
 }
 
@@ -133,20 +146,20 @@
         return;
     }
     if (message.cleared()) {
-        clearByPeer(*fingerprint, from, now);
+        clearByPeer(*fingerprint, ServiceName(message.service()), from, now);
         return;
     }
     if (isKnown(*fingerprint, from, message.sequence())) {
         return;
     }
-    addStrike(ServiceName(message.service()), *fingerprint, fromWire(message, from, now));
+    addStrike(*fingerprint, fromWire(message, from, now));
 }
 
 template<class Visitor>
 void CrashQuarantine::visitStrikes(Instant now, Visitor visit) const
 {
     for (const auto &[fingerprint, suspect] : m_suspects) {
-        for (const Strike &strike : suspect.strikes) {
+        for (const CrashEvidence &strike : suspect.strikes) {
             if (strike.at + m_options.retention > now) {
                 visit(fingerprint, suspect, strike);
             }
@@ -161,8 +174,8 @@
         Wire::CrashStrike message;
     };
     std::vector<Entry> entries;
-    visitStrikes(now, [&](const CrashFingerprint &fingerprint, const Suspect &suspect, const Strike &strike) {
-        Wire::CrashStrike message = toWire(suspect.service, fingerprint, strike);
+    visitStrikes(now, [&](const CrashFingerprint &fingerprint, const Suspect &suspect, const CrashEvidence &strike) {
+        Wire::CrashStrike message = toWire(fingerprint, strike);
         const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - strike.at);
         message.set_age_us(static_cast<std::uint64_t>(age.count()));
         entries.push_back({.lastStrike = suspect.lastStrike, .message = std::move(message)});
@@ -182,7 +195,7 @@
 std::uint64_t CrashQuarantine::historyHash(Instant now) const
 {
     std::uint64_t hash = 0;
-    visitStrikes(now, [&hash](const CrashFingerprint &fingerprint, const Suspect & /*suspect*/, const Strike &strike) {
+    visitStrikes(now, [&hash](const CrashFingerprint &fingerprint, const Suspect & /*suspect*/, const CrashEvidence &strike) {
         std::string text(fingerprint.begin(), fingerprint.end());
         text.append(strike.origin.value()).append("/").append(std::to_string(strike.sequence));
         hash += stableHash(text);
@@ -210,33 +223,37 @@
     if (!fingerprint || origin.empty() || origin == m_self || message.cleared() || isExpired) {
         return false;
     }
-    if (wasClearedSince(*fingerprint, at) || isKnown(*fingerprint, origin, message.sequence())) {
+    if (wasClearedSince(*fingerprint, ServiceName(message.service()), at) || isKnown(*fingerprint, origin, message.sequence())) {
         return false;
     }
-    addStrike(ServiceName(message.service()), *fingerprint, fromWire(message, from, at));
+    addStrike(*fingerprint, fromWire(message, from, at));
     return isKnown(*fingerprint, origin, message.sequence());
 }
 
-bool CrashQuarantine::wasClearedSince(const CrashFingerprint &fingerprint, Instant time) const
+bool CrashQuarantine::wasClearedSince(const CrashFingerprint &fingerprint, const ServiceName &service, Instant time) const
 {
-    const auto success = m_successIndex.find(fingerprint);
+    const auto success = m_successIndex.find({fingerprint, service});
     if (success != m_successIndex.end() && success->second->second >= time) {
         return true;
     }
     const auto suspect = m_suspects.find(fingerprint);
-    return suspect != m_suspects.end() && suspect->second.clearedAt && *suspect->second.clearedAt >= time;
+    if (suspect == m_suspects.end()) {
+        return false;
+    }
+    const auto cleared = suspect->second.clearedAt.find(service);
+    return cleared != suspect->second.clearedAt.end() && cleared->second >= time;
 }
 
 bool CrashQuarantine::isKnown(const CrashFingerprint &fingerprint, const InstanceId &origin, std::uint64_t sequence) const
 {
     const auto suspect = m_suspects.find(fingerprint);
     return suspect != m_suspects.end()
-        && std::any_of(suspect->second.strikes.begin(), suspect->second.strikes.end(), [&](const Strike &strike) {
+        && std::any_of(suspect->second.strikes.begin(), suspect->second.strikes.end(), [&](const CrashEvidence &strike) {
                return strike.origin == origin && strike.sequence == sequence;
            });
 }
 
-void CrashQuarantine::addStrike(const ServiceName &service, const CrashFingerprint &fingerprint, const Strike &strike)
+void CrashQuarantine::addStrike(const CrashFingerprint &fingerprint, const CrashEvidence &strike)
 {
     if (m_suspects.count(fingerprint) == 0) {
         evictOldestSuspectIfFull();
@@ -249,49 +266,67 @@
         }
     }
     Suspect &suspect = m_suspects[fingerprint];
-    suspect.service = service;
     suspect.lastStrike = std::max(suspect.lastStrike, strike.at);
-    std::erase_if(suspect.strikes, [&](const Strike &earlier) {
+    std::erase_if(suspect.strikes, [&](const CrashEvidence &earlier) {
         return earlier.at + m_options.retention <= strike.at;
     });
     if (suspect.strikes.size() < MaxStrikesPerSuspect) {
         suspect.strikes.push_back(strike);
     }
-    updateQuarantine(fingerprint, suspect, strike.at);
+    updateQuarantine(fingerprint, suspect, strike);
 }
 
-void CrashQuarantine::updateQuarantine(const CrashFingerprint &fingerprint, Suspect &suspect, Instant now)
+void CrashQuarantine::updateQuarantine(const CrashFingerprint &fingerprint, Suspect &suspect, const CrashEvidence &strike)
 {
-    const bool confirmed = succeededRecently(fingerprint, now) ? confirmsCrashesWithoutAnySinglePeer(suspect.strikes)
-                                                               : confirmsCrashes(suspect.strikes, {});
-    if (!confirmed) {
-        return;
+    const Instant until = strike.at + m_options.retention;
+    if (isConfirmed(fingerprint, suspect, strike.service, strike.at)) {
+        Instant &known = suspect.quarantinedUntil[strike.service];
+        known = std::max(known, until);
+    }
+    if (confirmsCrashesOfAll(suspect.strikes)) {
+        suspect.quarantinedAtAllUntil = std::max(suspect.quarantinedAtAllUntil, until);
     }
-    suspect.quarantinedUntil = now + m_options.retention;
-    decideAllWaiting(fingerprint, suspect, CrashAdmission::Quarantined);
+    decideWaiting(fingerprint, suspect, strike.at);
 }
 
-bool CrashQuarantine::confirmsCrashes(const std::vector<Strike> &strikes, const InstanceId &excludedPeer)
+bool CrashQuarantine::isConfirmed(const CrashFingerprint &fingerprint,
+                                  const Suspect &suspect,
+                                  const ServiceName &service,
+                                  Instant now) const
 {
-    const auto counts = [&excludedPeer](const Strike &strike) {
-        return excludedPeer.empty() || (strike.origin != excludedPeer && strike.reporter != excludedPeer);
+    if (!confirmsCrashesOf(service, suspect.strikes)) {
+        return false;
+    }
+    if (!succeededRecently({fingerprint, service}, now)) {
+        return true;
+    }
+    const auto isConfirmedWithout = [&](const InstanceId &peer) {
+        return peer == m_self || confirmsCrashesOf(service, withoutPeer(suspect.strikes, peer));
     };
-    return std::any_of(strikes.begin(), strikes.end(), [&](const Strike &suspected) {
-        return suspected.underSuspicion && counts(suspected)
-            && std::any_of(strikes.begin(), strikes.end(), [&](const Strike &other) {
-                   return counts(other) && other.upstream != suspected.upstream;
-               });
+    return std::all_of(suspect.strikes.begin(), suspect.strikes.end(), [&](const CrashEvidence &strike) {
+        return isConfirmedWithout(strike.origin) && isConfirmedWithout(strike.reporter);
     });
 }
 
-bool CrashQuarantine::confirmsCrashesWithoutAnySinglePeer(const std::vector<Strike> &strikes) const
+bool CrashQuarantine::isQuarantined(const CrashFingerprint &fingerprint,
+                                    const Suspect &suspect,
+                                    const ServiceName &service,
+                                    Instant now) const
 {
-    const auto isConfirmedWithout = [&](const InstanceId &peer) {
-        return peer == m_self || confirmsCrashes(strikes, peer);
-    };
-    return confirmsCrashes(strikes, {}) && std::all_of(strikes.begin(), strikes.end(), [&](const Strike &strike) {
-               return isConfirmedWithout(strike.origin) && isConfirmedWithout(strike.reporter);
-           });
+    const auto own = suspect.quarantinedUntil.find(service);
+    const bool isQuarantinedHere = own != suspect.quarantinedUntil.end() && own->second > now;
+    return isQuarantinedHere || (suspect.quarantinedAtAllUntil > now && !succeededRecently({fingerprint, service}, now));
+}
+
+bool CrashQuarantine::isSuspected(const CrashFingerprint &fingerprint,
+                                  const Suspect &suspect,
+                                  const ServiceName &service,
+                                  Instant now) const
+{
+    const bool hasStrikes = std::any_of(suspect.strikes.begin(), suspect.strikes.end(), [&](const CrashEvidence &strike) {
+        return strike.service == service;
+    });
+    return hasStrikes || (!suspect.strikes.empty() && !succeededRecently({fingerprint, service}, now));
 }
 
 void CrashQuarantine::endRun(const CrashTicket &ticket, Instant now)
@@ -301,9 +336,8 @@
         return;
     }
     found->second.run = 0;
-    if (found->second.quarantinedUntil <= now) {
-        admitNextWaiting(ticket.fingerprint, found->second);
-    }
+    decideWaiting(ticket.fingerprint, found->second, now);
+    admitNextWaiting(ticket.fingerprint, found->second);
 }
 
 void CrashQuarantine::admitNextWaiting(const CrashFingerprint &fingerprint, Suspect &suspect)
@@ -312,42 +346,68 @@
         return;
     }
     suspect.run = ++m_lastRun;
-    const CrashTicket ticket{.service = suspect.service, .fingerprint = fingerprint, .run = suspect.run};
-    m_decisions.push_back({.request = suspect.waiting.front(), .admission = CrashAdmission::Run, .ticket = ticket});
+    const auto &[request, service] = suspect.waiting.front();
+    const CrashTicket ticket{.service = service, .fingerprint = fingerprint, .run = suspect.run};
+    m_decisions.push_back({.request = request, .admission = CrashAdmission::Run, .ticket = ticket});
     suspect.waiting.pop_front();
 }
 
-void CrashQuarantine::clearStrikes(const CrashFingerprint &fingerprint)
+void CrashQuarantine::clearStrikes(const CrashFingerprint &fingerprint, Suspect &suspect, const ServiceName &service, Instant now)
 {
-    const auto found = m_suspects.find(fingerprint);
-    decideAllWaiting(fingerprint, found->second, CrashAdmission::Run);
-    m_suspects.erase(found);
+    std::erase_if(suspect.strikes, [&service](const CrashEvidence &strike) {
+        return strike.service == service;
+    });
+    suspect.quarantinedUntil.erase(service);
+    if (!confirmsCrashesOfAll(suspect.strikes)) {
+        suspect.quarantinedAtAllUntil = {};
+    }
+    decideWaiting(fingerprint, suspect, now);
 }
 
-void CrashQuarantine::clearByPeer(const CrashFingerprint &fingerprint, const InstanceId &from, Instant now)
+void CrashQuarantine::clearByPeer(const CrashFingerprint &fingerprint,
+                                  const ServiceName &service,
+                                  const InstanceId &from,
+                                  Instant now)
 {
     const auto found = m_suspects.find(fingerprint);
     if (found == m_suspects.end()) {
         return;
     }
     Suspect &suspect = found->second;
-    if (std::find(suspect.clearedBy.begin(), suspect.clearedBy.end(), from) != suspect.clearedBy.end()) {
+    const std::pair clearing(service, from);
+    if (std::find(suspect.clearedBy.begin(), suspect.clearedBy.end(), clearing) != suspect.clearedBy.end()) {
         return;
     }
     // The entry is kept until it expires, because it holds clearedBy.
-    suspect.clearedBy.push_back(from);
-    suspect.clearedAt = now;
-    suspect.strikes.clear();
-    suspect.run = 0;
-    suspect.quarantinedUntil = {};
-    decideAllWaiting(fingerprint, suspect, CrashAdmission::Run);
+    suspect.clearedBy.push_back(clearing);
+    suspect.clearedAt[service] = now;
+    clearStrikes(fingerprint, suspect, service, now);
+    if (suspect.strikes.empty()) {
+        suspect.run = 0;
+        admitAllWaiting(fingerprint, suspect);
+    }
 }
 
-void CrashQuarantine::decideAllWaiting(const CrashFingerprint &fingerprint, Suspect &suspect, CrashAdmission admission)
+void CrashQuarantine::decideWaiting(const CrashFingerprint &fingerprint, Suspect &suspect, Instant now)
 {
-    const CrashTicket ticket{.service = suspect.service, .fingerprint = fingerprint};
-    for (const RequestId request : suspect.waiting) {
-        m_decisions.push_back({.request = request, .admission = admission, .ticket = ticket});
+    std::erase_if(suspect.waiting, [&](const auto &waiting) {
+        const auto &[request, service] = waiting;
+        const bool isRefused = isQuarantined(fingerprint, suspect, service, now);
+        if (!isRefused && isSuspected(fingerprint, suspect, service, now)) {
+            return false;
+        }
+        m_decisions.push_back({.request = request,
+                               .admission = isRefused ? CrashAdmission::Quarantined : CrashAdmission::Run,
+                               .ticket = {.service = service, .fingerprint = fingerprint}});
+        return true;
+    });
+}
+
+void CrashQuarantine::admitAllWaiting(const CrashFingerprint &fingerprint, Suspect &suspect)
+{
+    for (const auto &[request, service] : suspect.waiting) {
+        const CrashTicket ticket{.service = service, .fingerprint = fingerprint};
+        m_decisions.push_back({.request = request, .admission = CrashAdmission::Run, .ticket = ticket});
     }
     suspect.waiting.clear();
 }
@@ -360,7 +420,7 @@
     const auto oldest = std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto &left, const auto &right) {
         return left.second.lastStrike < right.second.lastStrike;
     });
-    decideAllWaiting(oldest->first, oldest->second, CrashAdmission::Run);
+    admitAllWaiting(oldest->first, oldest->second);
     m_suspects.erase(oldest);
 }
 
@@ -371,7 +431,7 @@
             ++entry;
             continue;
         }
-        decideAllWaiting(entry->first, entry->second, CrashAdmission::Run);
+        admitAllWaiting(entry->first, entry->second);
         entry = m_suspects.erase(entry);
     }
     while (!m_successes.empty() && m_successes.front().second + m_options.retention <= now) {
@@ -380,21 +440,21 @@
     }
 }
 
-void CrashQuarantine::recordSuccess(const CrashFingerprint &fingerprint, Instant now)
+void CrashQuarantine::recordSuccess(const SuccessKey &key, Instant now)
 {
-    const auto found = m_successIndex.find(fingerprint);
+    const auto found = m_successIndex.find(key);
     if (found != m_successIndex.end()) {
         m_successes.erase(found->second);
     } else if (m_successes.size() >= m_options.maxSuccesses) {
         m_successIndex.erase(m_successes.front().first);
         m_successes.pop_front();
     }
-    m_successIndex[fingerprint] = m_successes.insert(m_successes.end(), {fingerprint, now});
+    m_successIndex[key] = m_successes.insert(m_successes.end(), {key, now});
 }
 
-bool CrashQuarantine::succeededRecently(const CrashFingerprint &fingerprint, Instant now) const
+bool CrashQuarantine::succeededRecently(const SuccessKey &key, Instant now) const
 {
-    const auto found = m_successIndex.find(fingerprint);
+    const auto found = m_successIndex.find(key);
     return found != m_successIndex.end() && found->second->second + m_options.retention > now;
 }
 
@@ -420,19 +480,19 @@
     return true;
 }
 
-void CrashQuarantine::queueMessage(const CrashTicket &ticket, const Strike &strike, bool cleared)
+void CrashQuarantine::queueMessage(const CrashFingerprint &fingerprint, const CrashEvidence &strike, bool cleared)
 {
-    Wire::CrashStrike message = toWire(ticket.service, ticket.fingerprint, strike);
+    Wire::CrashStrike message = toWire(fingerprint, strike);
     message.set_origin(m_self.value());
     message.set_sequence(++m_lastSequence);
     message.set_cleared(cleared);
     m_messages.push_back(std::move(message));
 }
 
-Wire::CrashStrike CrashQuarantine::toWire(const ServiceName &service, const CrashFingerprint &fingerprint, const Strike &strike)
+Wire::CrashStrike CrashQuarantine::toWire(const CrashFingerprint &fingerprint, const CrashEvidence &strike)
 {
     Wire::CrashStrike message;
-    message.set_service(service.value());
+    message.set_service(strike.service.value());
     message.set_fingerprint(fingerprint.data(), fingerprint.size());
     message.set_upstream(strike.upstream.value());
     message.set_origin(strike.origin.value());
@@ -441,9 +501,10 @@
     return message;
 }
 
-CrashQuarantine::Strike CrashQuarantine::fromWire(const Wire::CrashStrike &message, const InstanceId &reporter, Instant at)
+CrashEvidence CrashQuarantine::fromWire(const Wire::CrashStrike &message, const InstanceId &reporter, Instant at)
 {
-    return {.upstream = UpstreamId(message.upstream()),
+    return {.service = ServiceName(message.service()),
+            .upstream = UpstreamId(message.upstream()),
             .origin = InstanceId(message.origin()),
             .reporter = reporter,
             .sequence = message.sequence(),
@@ -464,7 +525,11 @@
 std::size_t CrashQuarantine::quarantined(Instant now) const
 {
     return static_cast<std::size_t>(std::count_if(m_suspects.begin(), m_suspects.end(), [now](const auto &entry) {
-        return entry.second.quarantinedUntil > now;
+        const Suspect &suspect = entry.second;
+        return suspect.quarantinedAtAllUntil > now
+            || std::any_of(suspect.quarantinedUntil.begin(), suspect.quarantinedUntil.end(), [now](const auto &service) {
+                   return service.second > now;
+               });
     }));
 }
 
--- a/tests/quarantine/crashquarantinetest.cpp
+++ b/tests/quarantine/crashquarantinetest.cpp
@@ -16,7 +16,7 @@
 
 CrashFingerprint fingerprintOf(const std::string &target)
 {
-    return crashFingerprint(Shop, "POST", target, "");
+    return crashFingerprint("shop.example", "POST", target, "");
 }
 
 Instant at(int seconds)
--- a/tests/support/faults/quarantinesimulation.h
+++ b/tests/support/faults/quarantinesimulation.h
@@ -180,7 +180,7 @@
     {
         const Attempt &attempt = m_attempts[number];
         Node &node = *m_nodes[attempt.instance];
-        const CrashFingerprint fingerprint = crashFingerprint(ServiceName("shop"), "GET", attempt.target, "");
+        const CrashFingerprint fingerprint = crashFingerprint("shop", "GET", attempt.target, "");
         decided(number, node.quarantine.admit(RequestId(number), ServiceName("shop"), fingerprint, localNow(node)));
     }
     void decided(std::size_t number, const CrashDecision &decision)
@@ -301,7 +301,7 @@
     }
     static bool isCrashing(const Wire::CrashStrike &message)
     {
-        const CrashFingerprint crashing = crashFingerprint(ServiceName("shop"), "GET", Crashing, "");
+        const CrashFingerprint crashing = crashFingerprint("shop", "GET", Crashing, "");
         return !message.cleared()
             && std::equal(crashing.begin(), crashing.end(), message.fingerprint().begin(), [](auto left, auto right) {
                    return left == static_cast<std::uint8_t>(right);
@@ -379,7 +379,7 @@
         m_nodes[instance]->sendsFalseStrikes = true;
         for (std::uint64_t number = 0; number < 20; ++number) {
             const CrashFingerprint popular =
-                crashFingerprint(ServiceName("shop"), "GET", "/popular-" + std::to_string(number % HarmlessRequests), "");
+                crashFingerprint("shop", "GET", "/popular-" + std::to_string(number % HarmlessRequests), "");
             Wire::CrashStrike message;
             message.set_service("shop");
             message.set_fingerprint(popular.data(), popular.size());
