Do not take a reset during an upload for the end of a response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a complete answer.

Cause: a socket reports a reset once, and the write took it; the read that followed saw an orderly end, at which a response without a length is complete.

Change: after a failed write, an end of the connection does not complete a response.

--- a/src/edge/clientconnection.cpp
+++ b/src/edge/clientconnection.cpp
@@ -107,6 +107,7 @@
             if (error) {
                 // The server may have responded before the connection ended; the pending read handles both.
                 self->m_mayReuse = false;
+                self->m_hasSendFailed = true;
             }
         });
 }
@@ -249,7 +250,7 @@
         close();
         return;
     }
-    const bool isOrderlyClose = error == Asio::error::eof;
+    const bool isOrderlyClose = error == Asio::error::eof && !m_hasSendFailed;
     if (isOrderlyClose && m_parser->is_header_done() && m_parser->need_eof()) {
         error_code ending;
         m_parser->put_eof(ending);
@@ -261,7 +262,8 @@
             return;
         }
     }
-    finish(ExchangeEnd::Broken, error.message());
+    const bool isEndAfterFailedSend = error == Asio::error::eof && m_hasSendFailed;
+    finish(ExchangeEnd::Broken, isEndAfterFailedSend ? "the connection was lost during the request" : error.message());
 }
 
 void ClientConnection::finish(ExchangeEnd end, std::string reason)
--- a/src/edge/clientconnection.h
+++ b/src/edge/clientconnection.h
@@ -138,6 +138,8 @@
     bool m_isBusy = false;
     bool m_mayReuse = true;
     bool m_isSending = false;
+    /** The failed write may have taken the socket's error, so that a reset looks like an orderly end to the read. */
+    bool m_hasSendFailed = false;
     bool m_mayRepeatRefusal = false;
 };
 
--- a/tests/edge/clientconnectiontest.cpp
+++ b/tests/edge/clientconnectiontest.cpp
@@ -128,6 +128,62 @@
     }
 }
 
+// The part of an early response to a long upload was taken for the whole response: the failed write took the socket's error, so
+// that the read saw an orderly end.
+TEST_CASE("client connection: a response without a length that is reset during the upload is not complete")
+{
+    constexpr int tries = 50;
+    constexpr std::size_t uploadBytes = std::size_t{8} << 20U;
+    int complete = 0;
+    for (int count = 0; count < tries; ++count) {
+        IoLoop loop;
+        ScriptedServer server(loop, [](ScriptedPeer &peer) {
+            peer.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart");
+            peer.reset();
+        });
+        auto connection = std::make_shared<ClientConnection>(loop, server.endpoint());
+        ClientExchangeOptions options = request("1");
+        options.request = "POST /a/1 HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(uploadBytes) + "\r\n\r\n"
+            + std::string(uploadBytes, 'u');
+        std::optional<ExchangeResult> result;
+        connection->exchange(std::move(options), [&](ExchangeResult ended) {
+            result = std::move(ended);
+        });
+        REQUIRE(runUntil(loop, [&] {
+            return result.has_value();
+        }));
+        complete += result->end == ExchangeEnd::Responded ? 1 : 0;
+        connection->close();
+    }
+    CHECK(complete == 0);
+}
+
+// An early response that ends in order is the upstream's whole response, also while the upload is not finished.
+TEST_CASE("client connection: a response without a length that ends in order during the upload is complete")
+{
+    IoLoop loop;
+    ScriptedServer server(loop, [](ScriptedPeer &peer) {
+        if (peer.received.size() < 8192) {
+            error_code ignored;
+            peer.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody");
+            peer.socket.shutdown(Tcp::socket::shutdown_send, ignored);
+        }
+    });
+    auto connection = std::make_shared<ClientConnection>(loop, server.endpoint());
+    ClientExchangeOptions options = request("1");
+    options.request.append(std::size_t{8} << 20U, 'u');
+    std::optional<ExchangeResult> result;
+    connection->exchange(std::move(options), [&](ExchangeResult ended) {
+        result = std::move(ended);
+    });
+    REQUIRE(runUntil(loop, [&] {
+        return result.has_value();
+    }));
+    CHECK(result->end == ExchangeEnd::Responded);
+    CHECK(result->response.body == "body");
+    connection->close();
+}
+
 // Guards against a success that is framed as whole although the upstream stopped in the middle of the head or body.
 TEST_CASE("client connection: a response that ends in order at any byte before its end is not taken for a complete one")
 {
--- a/tests/proxy/streamingtest.cpp
+++ b/tests/proxy/streamingtest.cpp
@@ -216,6 +216,34 @@
     }
 }
 
+// The part of an early response to a long upload must not look like the whole response.
+TEST_CASE("a response without a length that is reset during the upload is not complete")
+{
+    constexpr int tries = 20;
+    constexpr std::size_t uploadBytes = std::size_t{8} << 20U;
+    TestSocket listener = TestSocket::listening();
+    std::thread upstream([&] {
+        for (int count = 0; count < tries; ++count) {
+            TestSocket socket = listener.accept();
+            socket.readUntil("\r\n\r\n");
+            socket.send("HTTP/1.1 200 OK\r\n\r\npart");
+            socket.reset();
+        }
+    });
+    {
+        TestEntry entry({.upstreams = {"127.0.0.1:" + std::to_string(listener.port())},
+                         .limits = {.maxBodyBytes = std::int64_t{1} << 30U},
+                         .retries = {.budgetPercent = 0}});
+        for (int count = 0; count < tries; ++count) {
+            CAPTURE(count);
+            const TestMessage response = entry.call(request("POST /orders", {}, std::string(uploadBytes, 'u')));
+            CHECK((response.status() != 200 || !response.complete));
+        }
+        listener.shutdown();
+    }
+    upstream.join();
+}
+
 // Guards against an instance that keeps all bytes of a faulty upstream until the process runs out of memory. Bodies and chunk
 // extensions are not in the table: bodies are passed on while they arrive, extensions are skipped, and both end at the deadline.
 TEST_CASE("a response whose head or trailers do not end is rejected within a bounded number of bytes")
