Reject responses whose status is not 100 to 599

What callers saw: 600 and 999 were passed on as answers. 000 to 099 were taken for interim responses by filbertmount-edge, so that a response that followed on the connection was taken for the answer.

Cause: the parsers accept any three digits, and what is below 200 counted as interim.

Evidence: the new tests fail before the change for 000, 001, 099, 600 and 999 (edge) and for 600 and 999 (filbertmountd).

Change: one check, isStatus(), at all three places where responses are read.

--- a/include/filbertmount/proxy/httpmessage.h
+++ b/include/filbertmount/proxy/httpmessage.h
@@ -27,6 +27,9 @@
 /** Parses a decimal integer. Returns nothing if the text contains anything else. */
 std::optional<std::int64_t> parseNumber(std::string_view text);
 
+/** Whether @p status is a status code of HTTP, 100 to 599. */
+bool isStatus(long status);
+
 /** Request line and headers of a caller's request. */
 struct RequestHead {
     std::string method;
--- a/src/edge/clientconnection.cpp
+++ b/src/edge/clientconnection.cpp
@@ -184,6 +184,10 @@
 bool ClientConnection::processResponse()
 {
     const unsigned status = m_parser->get().result_int();
+    if (!isStatus(status)) {
+        finish(ExchangeEnd::Malformed, "the status is not a number from 100 to 599");
+        return true;
+    }
     if (status == SwitchingProtocols) {
         finish(ExchangeEnd::Malformed, "the server switched protocols");
         return true;
--- a/src/proxy/httpmessage.cpp
+++ b/src/proxy/httpmessage.cpp
@@ -100,4 +100,11 @@
     return number;
 }
 
+bool isStatus(long status)
+{
+    constexpr long lowest = 100;
+    constexpr long highest = 599;
+    return status >= lowest && status <= highest;
+}
+
 } // namespace Filbertmount
--- a/src/proxy/transfer.cpp
+++ b/src/proxy/transfer.cpp
@@ -186,6 +186,9 @@
 {
     long status = 0;
     curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
+    if (!isStatus(status)) {
+        return false;
+    }
     if (status >= 100 && status < 200) {
         return status != 101; // The proxy never requests an upgrade, so 101 is an error.
     }
--- a/src/store/curlclient.cpp
+++ b/src/store/curlclient.cpp
@@ -1,5 +1,7 @@
 #include "store/curlclient.h"
 
+#include <filbertmount/proxy/httpmessage.h>
+
 #include <absl/strings/ascii.h>
 
 #include <algorithm>
@@ -127,6 +129,11 @@
     }
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    if (!isStatus(status)) {
+        transfer.response.reason = "the status of the response is not a number from 100 to 599";
+        transfer.response.outcome = HttpResponse::Outcome::Lost;
+        return std::move(transfer.response);
+    }
     transfer.response.outcome = HttpResponse::Outcome::Complete;
     transfer.response.status = static_cast<int>(status);
     return std::move(transfer.response);
--- a/tests/edge/clientconnectiontest.cpp
+++ b/tests/edge/clientconnectiontest.cpp
@@ -128,6 +128,19 @@
     }
 }
 
+// A status that is no HTTP was passed on as an answer, or taken for an interim response.
+TEST_CASE("client connection: a response whose status is not valid is rejected")
+{
+    for (const std::string status : {"000", "001", "099", "600", "999", "20", "2000", "2x0", "-20", "+20", " 20"}) {
+        CAPTURE(status);
+        const std::string response = "HTTP/1.1 " + status + " OK\r\nId: 1\r\nContent-Length: 4\r\n\r\n";
+        for (const std::string rest : {"body", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody"}) {
+            const Outcome outcome = exchangeWith(response + rest, Close);
+            CHECK(outcome.result.end == ExchangeEnd::Malformed);
+        }
+    }
+}
+
 // The part of an early response to a long upload was taken for the whole response: the failed write took the socket's error, so
 // that the read saw an orderly end.
 TEST_CASE("client connection: a response without a length that is reset during the upload is not complete")
--- a/tests/proxy/streamingtest.cpp
+++ b/tests/proxy/streamingtest.cpp
@@ -216,6 +216,20 @@
     }
 }
 
+// A status that is no HTTP was passed on as an answer.
+TEST_CASE("a response whose status is not valid is reported as an error")
+{
+    for (const std::string status : {"000", "001", "099", "600", "999", "20", "2000", "2x0", "-20", " 20"}) {
+        CAPTURE(status);
+        TestUpstream upstream([&](const TestMessage &, TestSocket &socket) {
+            socket.send("HTTP/1.1 " + status + " OK\r\nContent-Length: 4\r\n\r\nbody");
+            return false;
+        });
+        TestEntry entry({.upstreams = {upstream.address()}});
+        CHECK(entry.call(request("POST /orders")).status() == 502);
+    }
+}
+
 // The part of an early response to a long upload must not look like the whole response.
 TEST_CASE("a response without a length that is reset during the upload is not complete")
 {
