Reject responses with invalid field names or values

What callers saw (filbertmountd): a line of the head whose name holds a control byte was passed on, and so was a response with a blank after the name of the length or the encoding, whose body may be read with another length.

Cause: libcurl splits a line at its colon and checks no name, and Transfer did the same. filbertmount-edge is not affected: Beast rejects such heads.

Change: isFieldName() and isFieldValue() check each line of a head where libcurl reads responses.

--- a/include/filbertmount/proxy/httpmessage.h
+++ b/include/filbertmount/proxy/httpmessage.h
@@ -30,6 +30,12 @@
 /** Whether @p status is a status code of HTTP, 100 to 599. */
 bool isStatus(long status);
 
+/** Whether @p name is a field name (RFC 9110, section 5.1); a line with another one may be read differently by others. */
+bool isFieldName(std::string_view name);
+
+/** Whether @p value has no control bytes except tabs. */
+bool isFieldValue(std::string_view value);
+
 /** Request line and headers of a caller's request. */
 struct RequestHead {
     std::string method;
--- a/src/proxy/httpmessage.cpp
+++ b/src/proxy/httpmessage.cpp
@@ -1,5 +1,7 @@
 #include <filbertmount/proxy/httpmessage.h>
 
+#include <absl/strings/ascii.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -107,4 +109,19 @@
     return status >= lowest && status <= highest;
 }
 
+bool isFieldName(std::string_view name)
+{
+    static constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char character) {
+        return absl::ascii_isalnum(character) || symbols.find(static_cast<char>(character)) != std::string_view::npos;
+    });
+}
+
+bool isFieldValue(std::string_view value)
+{
+    return std::none_of(value.begin(), value.end(), [](unsigned char character) {
+        return absl::ascii_iscntrl(character) && character != '\t';
+    });
+}
+
 } // namespace Filbertmount
--- a/src/proxy/transfer.cpp
+++ b/src/proxy/transfer.cpp
@@ -173,12 +173,17 @@
     }
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos) {
-        return true;
+        return false;
     }
+    const std::string_view name = line.substr(0, colon);
     std::string_view value = line.substr(colon + 1);
+    // libcurl lets these lines pass, and may have taken the length of the body from one.
+    if (!isFieldName(name) || !isFieldValue(value)) {
+        return false;
+    }
     value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
     value = value.substr(0, value.find_last_not_of(" \t") + 1);
-    m_head.headers.push_back({.name = std::string(line.substr(0, colon)), .value = std::string(value)});
+    m_head.headers.push_back({.name = std::string(name), .value = std::string(value)});
     return true;
 }
 
--- a/src/store/curlclient.cpp
+++ b/src/store/curlclient.cpp
@@ -46,11 +46,15 @@
     auto *transfer = static_cast<Transfer *>(context);
     const std::string line(data, size * count);
     const std::size_t colon = line.find(':');
-    if (colon == std::string::npos) {
+    if (line.starts_with("HTTP/") || colon == std::string::npos) {
         return line.size();
     }
     const std::string name = absl::AsciiStrToLower(line.substr(0, colon));
     const std::string value(absl::StripAsciiWhitespace(line.substr(colon + 1)));
+    // libcurl lets these lines pass, and may have taken the length of the body from one.
+    if (!isFieldName(name) || !isFieldValue(value)) {
+        return 0;
+    }
     const std::array<std::pair<std::string_view, std::string *>, 4> recordedHeaders{
         {{"etag", &transfer->response.etag},
          {"date", &transfer->response.date},
--- a/tests/proxy/streamingtest.cpp
+++ b/tests/proxy/streamingtest.cpp
@@ -230,6 +230,42 @@
     }
 }
 
+// A line whose field name is no HTTP was passed on, or hid the length of the body that followed.
+TEST_CASE("a response whose head has a line that is not valid is reported as an error")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const std::string end = "Content-Length: 4\r\n\r\nbody";
+    struct Row {
+        std::string name;
+        std::string text;
+    };
+    std::vector<Row> rows = {
+        {"field without a name", start + ": value\r\n" + end},
+        {"line without a colon", start + "value\r\n" + end},
+        {"blank before the first field", start + " Own: 1\r\n" + end},
+        {"blank after the name of the length", start + "Content-Length : 4\r\n\r\nbody"},
+        {"tab after the name of the encoding", start + "Transfer-Encoding\t: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+        {"NUL in a value", start + std::string("Own: a\0b\r\n", 10) + end},
+        {"carriage return in a value", start + "Own: a\rb\r\n" + end},
+        {"byte 127 in a name", start + "Own\x7fname: value\r\n" + end},
+    };
+    for (int byte = 0; byte <= 0x20; ++byte) {
+        if (byte != '\n') {
+            rows.push_back({"byte " + std::to_string(byte) + " in a name",
+                            start + "Own" + static_cast<char>(byte) + "name: value\r\n" + end});
+        }
+    }
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        TestUpstream upstream([&](const TestMessage &, TestSocket &socket) {
+            socket.send(row.text);
+            return false;
+        });
+        TestEntry entry({.upstreams = {upstream.address()}});
+        CHECK(entry.call(request("POST /orders")).status() == 502);
+    }
+}
+
 // The part of an early response to a long upload must not look like the whole response.
 TEST_CASE("a response without a length that is reset during the upload is not complete")
 {
