Count departed instances in the division of the retry budget until they have ended

An instance that announced its shutdown left the count at once, and the others took larger shares of the retry budget while it could still use its own for the rest of its grace time.

--- a/include/filbertmount/membership/knowninstances.h
+++ b/include/filbertmount/membership/knowninstances.h
@@ -18,7 +18,7 @@
 };
 
 struct KnownInstancesOptions {
-    /** An instance that stopped responding counts for this long without a registration. */
+    /** An instance that stopped responding counts for this long without a registration. Longer than any shutdown takes. */
     Duration recentTime = std::chrono::seconds(30);
     /** An instance that announced its shutdown counts for this long: its earlier promises to others must have ended. */
     Duration departureDelay = std::chrono::seconds(1);
@@ -49,8 +49,8 @@
 
     /** Number of instances that may be running. */
     [[nodiscard]] std::size_t count(Instant now) const;
-    /** Number of registered instances that have not departed. */
-    [[nodiscard]] std::size_t registeredCount() const;
+    /** Number of registered instances, with those that departed so recently that their processes may still send requests. */
+    [[nodiscard]] std::size_t registeredCount(Instant now) const;
     /** Whether an instance that may be running is not live. */
     [[nodiscard]] bool isAnyMissing(Instant now) const;
     /** Whether more than half of the instances that may be running are live. */
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -27,14 +27,6 @@
 // File descriptors for connections to upstreams and the store and for files, not available to connections of callers.
 constexpr int ReservedDescriptors = 1200;
 constexpr int MinCallerSessions = 64;
-constexpr double PercentPerShare = 100.0;
-// Part of the configured retry share that is used. The rest covers requests that an instance counts just outside of a window.
-constexpr double UsedPartOfShare = 0.85;
-// Parts of the configured extra retries that are used for bursts and for the tokens of one window. The rest covers restarted
-// processes, each of which starts with one token.
-constexpr double PartOfExtraForBursts = 0.45;
-constexpr double PartOfExtraForWindow = 0.45;
-constexpr double MaxRetryBurst = 2.0;
 // For the readiness port and the metrics port, each.
 constexpr std::size_t MaxMonitoringSessions = 32;
 // Remembered successes protect valid requests against wrong reports of a faulty instance; each takes about 200 bytes,
@@ -108,28 +100,6 @@
     return static_cast<std::size_t>(std::max(MinCallerSessions, settings.descriptors - ReservedDescriptors));
 }
 
-/** Nothing if the own zone is preferred by a constant. */
-std::optional<ZoneExitOptions> zoneExitOptions(const ZoneSettings &zones)
-{
-    if (!zones.crossingMsPerKilobyte) {
-        return std::nullopt;
-    }
-    return ZoneExitOptions{.msPerKilobyte = *zones.crossingMsPerKilobyte, .crossingMs = zones.crossingMs};
-}
-
-void logDeletion(const DeletionDecision &deletion)
-{
-    const PossibleExpiry expiry = deletion.expiry.value_or(PossibleExpiry());
-    logLine(LogLevel::Info,
-            "the entry of an upstream was deleted",
-            {{.name = "upstream", .value = deletion.upstream},
-             {.name = "revision", .value = static_cast<std::int64_t>(deletion.revision.value())},
-             {.name = "source", .value = std::string(deletion.source == StateSource::Store ? "store" : "instance")},
-             {.name = "outcome", .value = std::string(deletionOutcomeName(deletion.outcome))},
-             {.name = "keep_ms", .value = toMilliseconds(expiry.keepFor)},
-             {.name = "outage_age_ms", .value = toMilliseconds(expiry.outageAge)}});
-}
-
 } // namespace
 
 EdgeServer::EdgeServer(IoLoop &loop, EdgeSettings settings, HttpDialect dialect)
@@ -330,29 +300,6 @@
     }
 }
 
-void EdgeServer::onStateChange(const MirrorChanges &changes)
-{
-    for (const auto &[name, reason] : changes.rejected) {
-        logLine(LogLevel::Warning,
-                "an object of the store cannot be used",
-                {{.name = "object", .value = name}, {.name = "reason", .value = reason}});
-        m_metrics.counter(MetricNames::RejectedObjects, {}).Increment();
-    }
-    for (const DeletionDecision &deletion : changes.deletions) {
-        logDeletion(deletion);
-    }
-    if (!changes.routes.empty()) {
-        applyRoutes();
-    }
-    if (!changes.upstreams.empty() || !changes.evacuations.empty()) {
-        applyUpstreams();
-    }
-    startForwardingWhenReady(ProcessClock::now());
-    if (changes.haveInstancesChanged) {
-        applyInstances();
-    }
-}
-
 void EdgeServer::startForwardingWhenReady(Instant now)
 {
     if (m_mirror.routes() && m_mirror.revision(StateKind::Upstreams)) {
@@ -370,163 +317,6 @@
     m_callerHandler.startForwarding();
 }
 
-void EdgeServer::applyRoutes()
-{
-    const std::shared_ptr<const RouteIndex> routes = m_mirror.routes();
-    logLine(LogLevel::Info,
-            "routes in force",
-            {{.name = "version", .value = static_cast<std::int64_t>(routes->version().value())},
-             {.name = "routes", .value = static_cast<std::int64_t>(routes->routes().routes.size())},
-             {.name = "accounts", .value = static_cast<std::int64_t>(routes->routes().accounts.size())},
-             {.name = "revision",
-              .value = static_cast<std::int64_t>(m_mirror.revision(StateKind::Routes).value_or(Revision()).value())}});
-    m_callerHandler.setRoutes(routes);
-    m_probeLoop.setRoutes(routes->routes());
-    m_services = routes->routes().services;
-    if (m_quotas) {
-        m_quotas->setVersion(routes->version().value());
-    }
-    configureServices();
-    m_callerHandler.retryPendingRequests();
-}
-
-double EdgeServer::instanceCount() const
-{
-    return static_cast<double>(std::max({std::size_t{1}, m_known.registeredCount(), m_fleet.memberCount()}));
-}
-
-double EdgeServer::retryBurst() const
-{
-    return std::clamp(m_settings.retries.extra * PartOfExtraForBursts / instanceCount(), 1.0, MaxRetryBurst);
-}
-
-double EdgeServer::retriesPerSecond() const
-{
-    const double window = std::chrono::duration<double>(m_settings.retries.window).count();
-    return m_settings.retries.extra * PartOfExtraForWindow / instanceCount() / window;
-}
-
-void EdgeServer::configureServices()
-{
-    m_configuredInstances = instanceCount();
-    const RetrySettings retries{.budgetPercent = m_settings.retries.share * UsedPartOfShare * PercentPerShare,
-                                .maxBurst = retryBurst(),
-                                .tokensPerSecond = retriesPerSecond()};
-    for (const ServiceAccess &service : m_services) {
-        m_router.configure(service.name,
-                           {.retries = retries,
-                            .ownZoneAdvantage = m_settings.ownZoneAdvantage,
-                            .warmup = warmupOptions(service),
-                            .zoneExit = zoneExitOptions(m_settings.zones)});
-    }
-}
-
-WarmupOptions EdgeServer::warmupOptions(const ServiceAccess &service) const
-{
-    if (!m_settings.warmup) {
-        return {};
-    }
-    return {.duration = service.warmup,
-            .rate = service.warmupRate,
-            .overshoot = m_settings.warmup->overshoot,
-            .slack = m_settings.warmup->slack,
-            .instances = m_configuredInstances};
-}
-
-void EdgeServer::onWarmupChange(const ServiceName &service, const UpstreamId &upstream, const WarmupChange &change)
-{
-    const std::string state = change.isCold ? "cold" : "warm";
-    const std::string reason(warmupReasonName(change.reason));
-    m_metrics.counter(MetricNames::WarmupChanges, {{"service", service.value()}, {"state", state}, {"reason", reason}})
-        .Increment();
-    if (!change.isUnexpected()) {
-        return;
-    }
-    logLine(LogLevel::Info,
-            "an upstream turned " + state,
-            {{.name = "service", .value = service.value()},
-             {.name = "upstream", .value = upstream.value()},
-             {.name = "reason", .value = reason},
-             {.name = "left_ms", .value = toMilliseconds(change.left)}});
-}
-
-void EdgeServer::applyUpstreams()
-{
-    absl::flat_hash_map<ServiceName, std::vector<RoutedUpstream>> byService;
-    for (const ServiceAccess &service : m_services) {
-        byService[service.name];
-    }
-    std::int64_t ready = 0;
-    m_evacuationEffects.startUpdate(m_mirror.evacuations());
-    for (const UpstreamRecord &record : m_mirror.upstreams()) {
-        std::vector<RoutedUpstream> &list = byService[record.service];
-        if (record.isDraining) {
-            continue;
-        }
-        const bool isEvacuated = m_evacuationEffects.add(record.id, record.zone);
-        ready += isEvacuated ? 0 : 1;
-        list.push_back({.id = record.id,
-                        .address = record.address,
-                        .zone = record.zone,
-                        .slots = record.slots,
-                        .warmupLeft = record.warmupLeft,
-                        .incarnation = record.incarnation,
-                        .isEvacuated = isEvacuated});
-    }
-    for (const auto &[service, upstreams] : byService) {
-        m_router.updateUpstreams(service, upstreams);
-    }
-    closeEvacuatedConnections();
-    m_evacuationEffects.finishUpdate(ProcessClock::now());
-    logLine(LogLevel::Info,
-            "upstreams in force",
-            {{.name = "ready", .value = ready},
-             {.name = "revision",
-              .value = static_cast<std::int64_t>(m_mirror.revision(StateKind::Upstreams).value_or(Revision()).value())}});
-}
-
-void EdgeServer::closeEvacuatedConnections()
-{
-    for (const UpstreamId &upstream : m_evacuationEffects.upstreams()) {
-        m_connectionPool.closeIdle(upstream);
-        m_probeLoop.closeIdle(upstream);
-    }
-}
-
-void EdgeServer::applyInstances()
-{
-    std::vector<std::string> addresses;
-    std::vector<RegisteredInstance> registered;
-    for (const auto &[name, object] : m_mirror.instances()) {
-        const auto &record = std::get<InstanceRecord>(object.value);
-        registered.push_back({.peerAddress = record.peerAddress, .isDeparture = record.isDeparture});
-        if (!record.isDeparture) {
-            addresses.push_back(record.peerAddress);
-        }
-    }
-    m_fleet.setKnownAddresses(std::move(addresses));
-    m_known.setRegistered(registered, ProcessClock::now());
-    configureServices();
-}
-
-void EdgeServer::followMembers(Instant now)
-{
-    if (m_fleet.memberVersion() == m_memberVersion) {
-        return;
-    }
-    m_memberVersion = m_fleet.memberVersion();
-    m_known.setMembers(m_fleet.liveMembers(), m_fleet.leftMembers(), now);
-}
-
-void EdgeServer::markUpstreamDown(const ServiceName &service, const UpstreamId &upstream)
-{
-    logLine(LogLevel::Info,
-            "another upstream has the address",
-            {{.name = "service", .value = service.value()}, {.name = "upstream", .value = upstream.value()}});
-    m_connectionPool.closeIdle(upstream);
-    m_router.setUpstreamState(service, upstream, UpstreamState::Down);
-}
-
 void EdgeServer::shutDown(std::function<void()> done)
 {
     if (m_onShutDownDone) {
--- a/src/edge/quotaservice.cpp
+++ b/src/edge/quotaservice.cpp
@@ -193,7 +193,7 @@
                 "the number of known instances changed",
                 {{.name = "known", .value = static_cast<std::int64_t>(known)},
                  {.name = "live", .value = static_cast<std::int64_t>(m_fleet.memberCount())},
-                 {.name = "registered", .value = static_cast<std::int64_t>(m_known.registeredCount())}});
+                 {.name = "registered", .value = static_cast<std::int64_t>(m_known.registeredCount(now))}});
     }
 }
 
--- a/src/membership/knowninstances.cpp
+++ b/src/membership/knowninstances.cpp
@@ -95,11 +95,12 @@
     }));
 }
 
-std::size_t KnownInstances::registeredCount() const
+std::size_t KnownInstances::registeredCount(Instant now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [](const auto &known) {
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto &known) {
         const Entry &entry = known.second;
-        return entry.isRegistered && !entry.departureListedAt && !entry.leftAt;
+        const std::optional<Instant> departedAt = entry.leftAt ? entry.leftAt : entry.departureListedAt;
+        return entry.isRegistered && (entry.isLive || !departedAt || now - *departedAt < m_options.recentTime);
     }));
 }
 
