--- a/tests/edge/instanceregistrationtest.cpp
+++ b/tests/edge/instanceregistrationtest.cpp
@@ -48,7 +48,7 @@
     void respond(ScriptedPeer &peer)
     {
         const std::size_t end = peer.received.find("\r\n\r\n");
-        const std::size_t body = peer.received.find("{");
+        const std::size_t body = peer.received.find('{');
         const bool hasBody = peer.received.starts_with("POST");
         if (end == std::string::npos || (hasBody && body == std::string::npos)) {
             return;
--- a/tests/membership/knowninstancestest.cpp
+++ b/tests/membership/knowninstancestest.cpp
@@ -19,6 +19,7 @@
 MemberList members(const std::vector<std::string> &addresses)
 {
     MemberList list;
+    list.reserve(addresses.size());
     for (const std::string &address : addresses) {
         list.push_back(member(address));
     }
@@ -28,6 +29,7 @@
 std::vector<RegisteredInstance> entries(const std::vector<std::string> &registered, const std::vector<std::string> &departed = {})
 {
     std::vector<RegisteredInstance> list;
+    list.reserve(registered.size() + departed.size());
     for (const std::string &address : registered) {
         list.push_back({.peerAddress = address});
     }
--- a/tests/quarantine/crashevidencetest.cpp
+++ b/tests/quarantine/crashevidencetest.cpp
@@ -22,6 +22,7 @@
 std::vector<CrashEvidence> strikesOf(const std::vector<Crash> &crashes)
 {
     std::vector<CrashEvidence> strikes;
+    strikes.reserve(crashes.size());
     for (const Crash &crash : crashes) {
         strikes.push_back({.service = ServiceName(crash.service),
                            .upstream = UpstreamId(crash.upstream),
