--- a/tests/edge/statereplicatortest.cpp
+++ b/tests/edge/statereplicatortest.cpp
@@ -34,8 +34,17 @@
 class Node
 {
 public:
-    Node(IoLoop &loop, const std::string &ip, std::vector<std::string> seeds, bool hasEvacuations = true)
-        : self{.id = InstanceId(ip), .peerAddress = ip + PeerPort, .adminAddress = {}, .zone = {}, .region = {}, .capacity = 100}
+    Node(IoLoop &loop,
+         const std::string &ip,
+         std::vector<std::string> seeds,
+         bool hasEvacuations = true,
+         std::uint32_t capacity = 100)
+        : self{.id = InstanceId(ip),
+               .peerAddress = ip + PeerPort,
+               .adminAddress = {},
+               .zone = {},
+               .region = {},
+               .capacity = capacity}
         , fleet(loop, {.cluster = "test", .self = self, .seeds = std::move(seeds)}, metrics)
         , router({.self = self.id, .zone = AvailabilityZone("z"), .send = fleet.sender()})
         , replicator(mirror, fleet, {.hasEvacuations = hasEvacuations}, [](const MirrorChanges &) {})
@@ -193,6 +202,21 @@
     }));
 }
 
+// The instance asked itself for the state that an instance on a smaller machine had announced, and never got it.
+TEST_CASE("state replicator: the only coordinator pulls from the instance that announces a state")
+{
+    IoLoop loop{1};
+    Node reader{loop, "127.0.0.31", {}, true, 10};
+    Node other{loop, "127.0.0.32", {std::string("127.0.0.31") + PeerPort}};
+    REQUIRE(runUntil(loop, [&] {
+        return reader.fleet.memberCount() == 2 && other.fleet.memberCount() == 2 && other.fleet.coordinatorIds().size() == 1;
+    }));
+    reader.applyStoreResponse(routes(1, 4), 10);
+    CHECK(runUntil(loop, [&] {
+        return other.has(1);
+    }));
+}
+
 // Version 0 has the same hash as no route set: an instance that had read the store before the first configuration took itself for
 // up to date.
 TEST_CASE("state replicator: an instance without routes gets those of version 0")
