Bound the clearings that peers may add to one request

Cause: since clearings name their service, a faulty peer could add any number of them, with invented services, to one request with strikes; each was remembered until the strikes expire. Found by reading; no caller has seen it.

--- a/src/quarantine/crashquarantine.cpp
+++ b/src/quarantine/crashquarantine.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t MaxStrikesPerSuspect = 16;
+// A peer names the service of a clearing, so it could name any number of them.
+constexpr std::size_t MaxClearingsPerSuspect = 256;
 
 void appendPart(std::string *text, const std::string &part)
 {
@@ -237,7 +239,8 @@
     }
     Suspect &suspect = found->second;
     const std::pair clearing(service, from);
-    if (std::find(suspect.clearedBy.begin(), suspect.clearedBy.end(), clearing) != suspect.clearedBy.end()) {
+    const bool isRepeated = std::find(suspect.clearedBy.begin(), suspect.clearedBy.end(), clearing) != suspect.clearedBy.end();
+    if (isRepeated || suspect.clearedBy.size() >= MaxClearingsPerSuspect) {
         return;
     }
     // The entry is kept until it expires, because it holds clearedBy.
--- a/tests/quarantine/crashquarantinetest.cpp
+++ b/tests/quarantine/crashquarantinetest.cpp
@@ -185,6 +185,24 @@
     CHECK(quarantine.admit(RequestId(4), Shop, last, at(1000)).admission == CrashAdmission::Busy);
 }
 
+// A clearing names its service, so a faulty peer could add clearings of invented services to one request without end.
+TEST_CASE("the clearings of a request are bounded")
+{
+    Fixture fixture;
+    std::uint64_t sequence = 0;
+    for (int number = 0; number < 1000; ++number) {
+        Wire::CrashStrike strike = strikeOf(Peer, First, ++sequence, false);
+        strike.set_service("service-" + std::to_string(number));
+        Wire::CrashStrike clearing = strike;
+        clearing.set_sequence(++sequence);
+        clearing.set_cleared(true);
+        fixture.quarantine.receive(Peer, strike, at(0));
+        fixture.quarantine.receive(Peer, clearing, at(0));
+    }
+    // Beyond the bound, clearings are ignored and the strikes remain.
+    CHECK(fixture.admit(1).ticket.run != 0);
+}
+
 TEST_CASE("crash guard responds to waiting requests and sends strikes to the members")
 {
     std::vector<Wire::Body> sent;
