Log failed calls on the list of instances, split StateMirror, and reword comments

A listing or write of RegistrationUpkeep that failed was visible in the counters of calls only; it is logged with its problem and reason now. The second listing of a registration is counted instead of kept in two flags.

--- a/include/filbertmount/membership/knowninstances.h
+++ b/include/filbertmount/membership/knowninstances.h
@@ -22,7 +22,7 @@
     Duration recentTime = std::chrono::seconds(30);
     /** An instance that announced its shutdown counts for this long: its earlier promises to others must have ended. */
     Duration departureDelay = std::chrono::seconds(1);
-    /** An announced departure that the store does not confirm within this time counts no longer. */
+    /** An announced departure that the store does not list after this time is ignored. */
     Duration confirmationTime = std::chrono::seconds(10);
     /** A registered instance that was silent for this long has left without announcing it. */
     Duration silenceLimit = std::chrono::minutes(10);
--- a/src/edge/instanceregistration.h
+++ b/src/edge/instanceregistration.h
@@ -83,6 +83,7 @@
             retryLater();
             return;
         }
+        ++m_listings;
         m_onChange(
             m_mirror.applyListing(StateKind::Instances, std::move(listed->objects), listed->storeRevision, ProcessClock::now()));
         const auto departure = m_mirror.instances().find(departureName(m_name));
@@ -90,10 +91,9 @@
             registerInstance();
         } else if (departure != m_mirror.instances().end()) {
             removeDeparture(departure->second.revision);
-        } else if (!std::exchange(m_hasListedTwice, m_hasListed)) {
+        } else if (m_listings < MinListings) {
             listLater(SecondListingDelay);
         }
-        m_hasListed = true;
     }
 
     void registerInstance()
@@ -168,6 +168,8 @@
     static constexpr Duration FirstListingDelay = std::chrono::milliseconds(600);
     /** After this time, even a stale listing contains what the instances wrote at the start and at the shutdown before. */
     static constexpr Duration SecondListingDelay = std::chrono::seconds(4);
+    /** The first listing may be older than the departure of the process before. */
+    static constexpr int MinListings = 2;
     /** Long, because nothing urgent depends on the list of instances. */
     static constexpr Duration MaxRetryDelay = std::chrono::seconds(4);
 
@@ -182,8 +184,7 @@
     OneShotTimer m_timer;
     Duration m_retryDelay;
     bool m_isRegistered = false;
-    bool m_hasListed = false;
-    bool m_hasListedTwice = false;
+    int m_listings = 0;
 };
 
 } // namespace Filbertmount
--- a/src/edge/registrationupkeep.h
+++ b/src/edge/registrationupkeep.h
@@ -13,7 +13,7 @@
 namespace Filbertmount {
 
 /**
- * Keeps the store's list of instances true when instances leave without a word. Runs on the IoLoop.
+ * Corrects the store's list of instances when instances leave without announcing it. Runs on the IoLoop.
  *
  * Only one live instance writes. It lists the instances while one of them is missing, adds the departure of an instance that was
  * silent for very long, removes a departure that a restarted instance failed to remove, and deletes the entries of instances that
@@ -86,10 +86,13 @@
         m_isCalling = true;
         m_listing.read(true, [this](StoreResult<StatePage> result) {
             m_isCalling = false;
-            if (auto *listed = std::get_if<StatePage>(&result)) {
-                m_onChange(m_dependencies.mirror.applyListing(
-                    StateKind::Instances, std::move(listed->objects), listed->storeRevision, ProcessClock::now()));
+            if (const auto *error = std::get_if<StoreError>(&result)) {
+                logFailure("listing the instances failed", *error);
+                return;
             }
+            auto &listed = std::get<StatePage>(result);
+            m_onChange(m_dependencies.mirror.applyListing(
+                StateKind::Instances, std::move(listed.objects), listed.storeRevision, ProcessClock::now()));
         });
     }
 
@@ -146,13 +149,27 @@
     {
         logLine(LogLevel::Info, reason, {{.name = "entry", .value = entry}});
         m_isCalling = true;
-        m_calls.call(request, operation, m_callTimeout, [this](const CallResult & /*result*/) {
+        m_calls.call(request, operation, m_callTimeout, [this](const CallResult &result) {
             m_isCalling = false;
+            const auto written = result.parse([this](int status, const std::string &body) {
+                return m_protocol.parseWriteResponse(status, body);
+            });
+            if (const auto *error = std::get_if<StoreError>(&written)) {
+                logFailure("an entry of an instance was not changed", *error);
+            }
             m_nextListing = ProcessClock::now() + MissingInterval;
             m_nextStep = m_nextListing;
         });
     }
 
+    static void logFailure(const std::string &message, const StoreError &error)
+    {
+        logLine(LogLevel::Info,
+                message,
+                {{.name = "problem", .value = std::string(storeProblemName(error.problem))},
+                 {.name = "reason", .value = error.reason}});
+    }
+
     /** Between the listings while an instance is missing. */
     static constexpr Duration MissingInterval = std::chrono::seconds(5);
     /** Between the listings while all instances are live. */
--- a/src/edge/statemirror.cpp
+++ b/src/edge/statemirror.cpp
@@ -98,7 +98,7 @@
         listed.insert(object.name);
     }
     for (const std::string &name : namesOf(kind)) {
-        // The listing says nothing new on an upstream that is kept because its entry is gone.
+        // The listing contains nothing new on an upstream that is kept because its entry is gone.
         if (!listed.contains(name) && !isKept(kind, name)) {
             remove(kind, {.name = name, .revision = storeRevision, .source = source, .expiry = {}}, now, changes);
         }
@@ -208,39 +208,6 @@
     changes.rejected.emplace_back(object.name, reason);
 }
 
-void StateMirror::applyRoutes(StateObject object, StateSource source, MirrorChanges &changes)
-{
-    const auto &routes = std::get<RouteSet>(object.value);
-    if (m_routes && !isNewer(routes, object.revision) && !isCorrection(routes, object.revision, source)) {
-        return;
-    }
-    m_areRoutesContradicted = false;
-    m_routes = std::make_shared<const RouteIndex>(routes);
-    m_routesName = object.name;
-    m_routesRevision = object.revision;
-    changes.routes.push_back({.object = std::move(object), .isDeleted = false});
-}
-
-bool StateMirror::isNewer(const RouteSet &received, Revision revision) const
-{
-    const bool isSame = received.version == m_routes->version();
-    const bool addsAccounts = revision == m_routesRevision && received.requiresKey && !m_routes->routes().requiresKey;
-    const bool changesAccounts = isSame && revision > m_routesRevision && accessHash(received) != m_routes->accessHash();
-    return received.version > m_routes->version() || (isSame && addsAccounts) || changesAccounts;
-}
-
-bool StateMirror::isCorrection(const RouteSet &received, Revision revision, StateSource source) const
-{
-    const bool mayCorrect = source == StateSource::Store || m_areRoutesContradicted;
-    return mayCorrect && received.version == m_routes->version() && revision >= m_routesRevision
-        && Filbertmount::routesHash(received) != m_routes->routesHash();
-}
-
-void StateMirror::recordContradiction()
-{
-    m_areRoutesContradicted = true;
-}
-
 void StateMirror::applyUpstream(StateObject object, MirrorChanges &changes)
 {
     const auto known = m_upstreams.find(object.name);
@@ -416,11 +383,6 @@
     return changes;
 }
 
-std::shared_ptr<const RouteIndex> StateMirror::routes() const
-{
-    return m_routes;
-}
-
 std::vector<UpstreamRecord> StateMirror::upstreams() const
 {
     std::vector<UpstreamRecord> records;
@@ -492,11 +454,6 @@
     return kind == StateKind::Evacuations ? m_evacuations.hash() : m_upstreamsHash;
 }
 
-std::uint64_t StateMirror::routesHash() const
-{
-    return m_routes ? m_routes->routesHash() : 0;
-}
-
 std::optional<Revision> StateMirror::revision(StateKind kind) const
 {
     const auto known = m_revisions.find(kind);
--- a/tests/edge/fleetrelaytest.cpp
+++ b/tests/edge/fleetrelaytest.cpp
@@ -106,7 +106,7 @@
 
 } // namespace
 
-// After a restart without any other instance, nobody led the owners of quotas, and accounts were refused.
+// After a restart without any other instance, no instance led the owners of quotas, and accounts were refused.
 TEST_CASE("fleet: an instance without others counts itself")
 {
     IoLoop loop{1};
--- a/tests/edge/statewiretest.cpp
+++ b/tests/edge/statewiretest.cpp
@@ -142,7 +142,7 @@
 }
 
 // A delta to version 0 was taken for a complete set, so all routes that had not changed were gone on most instances.
-TEST_CASE("state wire: a delta to any version is told from a complete set")
+TEST_CASE("state wire: a delta to any version is distinguished from a complete set")
 {
     for (const std::uint64_t base : {0, 1, 5}) {
         CAPTURE(base);
