--- a/tests/accounts/quotaelectiontest.cpp
+++ b/tests/accounts/quotaelectiontest.cpp
@@ -127,3 +127,32 @@
     REQUIRE(again);
     CHECK(*again > *first);
 }
+
+// An instance that shuts down stops counting for others a moment later. If its votes went on to count, the part of a divided
+// fleet that it can still reach and the other part could both find a majority.
+TEST_CASE("the votes of an instance that shuts down form no majority")
+{
+    for (const bool hasResigned : {false, true}) {
+        CAPTURE(hasResigned);
+        const InstanceId self("self");
+        const InstanceId voter("voter");
+        Instant now = Instant() + seconds(100);
+        QuotaElection election(self, {}, now);
+        election.setMembers({.members = {self, voter}, .coordinators = {self}, .known = 3});
+        for (int step = 0; step < 300; ++step) {
+            now += milliseconds(5);
+            PeerOutbox outbox;
+            election.tick(now, outbox);
+            for (const PeerMessage &message : outbox) {
+                const Wire::QuotaPoll &poll = message.envelope.bodies(0).quota_request().poll();
+                Wire::QuotaVote vote;
+                vote.set_round(poll.round());
+                vote.set_epoch(poll.epoch());
+                vote.set_resigned(hasResigned);
+                election.onVote(voter, vote, now);
+            }
+        }
+        REQUIRE(election.isLeading());
+        CHECK(election.marginShare().has_value() == hasResigned);
+    }
+}
--- a/tests/edge/instanceregistrationtest.cpp
+++ b/tests/edge/instanceregistrationtest.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -117,6 +118,45 @@
     InstanceRegistration<Platform::StoreProtocol> registration;
 };
 
+/** The upkeep of the instance "a", the only one of its fleet, with the instances that the test makes known. */
+struct Upkeep {
+    Upkeep(IoLoop &loop, const ListStore &store, const KnownInstancesOptions &options)
+        : known(options)
+        , fleet(loop, {.cluster = "test", .self = {.id = InstanceId("a"), .peerAddress = "127.0.0.35:17662"}}, metrics)
+        , router({.self = InstanceId("a"), .send = fleet.sender()})
+        , upkeep(
+              loop,
+              Platform::StoreProtocol(),
+              {.store = store.endpoint()},
+              {.mirror = mirror, .fleet = fleet, .known = known, .metrics = metrics},
+              [] {
+                  return false;
+              },
+              [this](const MirrorChanges &) {
+                  follow();
+              })
+    {
+        fleet.setRouter(router);
+    }
+
+    void follow()
+    {
+        std::vector<RegisteredInstance> registered;
+        for (const auto &[name, object] : mirror.instances()) {
+            const auto &record = std::get<InstanceRecord>(object.value);
+            registered.push_back({.peerAddress = record.peerAddress, .isDeparture = record.isDeparture});
+        }
+        known.setRegistered(registered, ProcessClock::now());
+    }
+
+    Metrics metrics;
+    StateMirror mirror;
+    KnownInstances known;
+    Fleet fleet;
+    Router router;
+    RegistrationUpkeep<Platform::StoreProtocol> upkeep;
+};
+
 constexpr const char *Departed = R"({"departed":true,"peer_address":"a"})";
 
 } // namespace
@@ -167,36 +207,12 @@
     ListStore store(loop);
     store.put("b", R"({"peer_address":"b"})");
     store.put("b.departed", R"({"departed":true,"peer_address":"b"})");
-    Metrics metrics;
-    StateMirror mirror;
-    KnownInstances known({.departureRetention = 1ms});
-    Fleet fleet(loop, {.cluster = "test", .self = {.id = InstanceId("a"), .peerAddress = "127.0.0.35:17662"}}, metrics);
-    Router router({.self = InstanceId("a"), .send = fleet.sender()});
-    fleet.setRouter(router);
-    const auto follow = [&] {
-        std::vector<RegisteredInstance> registered;
-        for (const auto &[name, object] : mirror.instances()) {
-            const auto &record = std::get<InstanceRecord>(object.value);
-            registered.push_back({.peerAddress = record.peerAddress, .isDeparture = record.isDeparture});
-        }
-        known.setRegistered(registered, ProcessClock::now());
-    };
-    RegistrationUpkeep<Platform::StoreProtocol> upkeep(
-        loop,
-        Platform::StoreProtocol(),
-        {.store = store.endpoint()},
-        {.mirror = mirror, .fleet = fleet, .known = known, .metrics = metrics},
-        [] {
-            return false;
-        },
-        [&](const MirrorChanges &) {
-            follow();
-        });
+    Upkeep upkeep(loop, store, {.departureRetention = 1ms});
     // The steps are seconds apart, so the test gives the times.
     Instant now = ProcessClock::now();
     REQUIRE(runUntil(loop, [&] {
         now += 10s;
-        upkeep.tick(now);
+        upkeep.upkeep.tick(now);
         return store.entries.empty();
     }));
     std::vector<std::string> deletions;
@@ -209,3 +225,57 @@
     CHECK(deletions.front().starts_with("b?"));
     CHECK(deletions.back().starts_with("b.departed?"));
 }
+
+// Without the departure of a silent machine, machines that are replaced one by one take the majority away. On the smaller side of
+// a partition all others are silent, so no departure may be added there.
+TEST_CASE("registration upkeep: departures are added by a majority only, and wrong ones are removed")
+{
+    struct Row {
+        std::string name;
+        MemberList live;
+        bool hasDeparture;
+        std::string call;
+    };
+    const Member a{.id = InstanceId("a"), .peerAddress = "a"};
+    const Member b{.id = InstanceId("b"), .peerAddress = "b"};
+    const Member c{.id = InstanceId("c"), .peerAddress = "c"};
+    const Row rows[] = {
+        {"a majority misses an instance", {a, c}, false, "POST /api/objects/filbertmount-instances"},
+        {"a minority misses the others", {a}, false, ""},
+        {"a live instance is listed as departed",
+         {a, b, c},
+         true,
+         "DELETE /api/objects/filbertmount-instances/b.departed?revision=5"},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        IoLoop loop{1};
+        ListStore store(loop);
+        for (const std::string name : {"a", "b", "c"}) {
+            store.put(name, R"({"peer_address":")" + name + R"("})");
+        }
+        if (row.hasDeparture) {
+            store.put("b.departed", R"({"departed":true,"peer_address":"b"})");
+        }
+        Upkeep upkeep(loop, store, {.silenceLimit = 1ms, .wrongDepartureTime = 1ms});
+        upkeep.known.setMembers(row.live, {}, ProcessClock::now());
+        const auto isWrite = [](const std::string &call) {
+            return !call.starts_with("GET");
+        };
+        // Writes happen between two listings, which are seconds apart, so the test gives the times.
+        Instant now = ProcessClock::now();
+        for (int step = 0; step < 5; ++step) {
+            now += 3s;
+            upkeep.upkeep.tick(now);
+            const std::size_t calls = store.calls.size();
+            runUntil(loop, [&, end = ProcessClock::now() + 100ms] {
+                return store.calls.size() > calls || ProcessClock::now() >= end;
+            });
+            runUntil(loop, [end = ProcessClock::now() + 10ms] {
+                return ProcessClock::now() >= end;
+            });
+        }
+        const auto written = std::find_if(store.calls.begin(), store.calls.end(), isWrite);
+        CHECK((written == store.calls.end() ? std::string() : *written) == row.call);
+    }
+}
