--- a/include/filbertmount/edge/statemirror.h
+++ b/include/filbertmount/edge/statemirror.h
@@ -32,6 +32,21 @@
     Instance,
 };
 
+/** The message that an update was taken from. */
+enum class StateOrigin : std::uint8_t {
+    /** A change that this instance, as a reader, received from the store. */
+    Watch,
+    /** A listing with the store's current state. */
+    Listing,
+    /** A listing that may be seconds old. */
+    OldListing,
+    /** A message of another instance. */
+    Instance,
+};
+
+/** Returns the name of @p origin as it appears in logs. */
+std::string_view stateOriginName(StateOrigin origin);
+
 /** What became of an upstream whose entry the store no longer has. */
 enum class DeletionOutcome : std::uint8_t {
     /** It was removed: it has left. */
@@ -61,6 +76,7 @@
 
 /** The effect of an update on the mirror. */
 struct MirrorChanges {
+    StateOrigin origin = StateOrigin::Instance;
     std::vector<StateChange> routes;
     std::vector<StateChange> upstreams;
     std::vector<StateChange> evacuations;
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -57,7 +57,7 @@
     [[nodiscard]] bool hasState(Instant now) const;
     /** Closes idle connections to evacuated upstreams, also those that attempts have returned since their evacuation. */
     void closeEvacuatedConnections();
-    void applyRoutes();
+    void applyRoutes(StateOrigin origin);
     void applyUpstreams();
     void applyInstances();
     /** Passes changes of the members on to m_known. */
--- a/src/edge/edgeserverstate.cpp
+++ b/src/edge/edgeserverstate.cpp
@@ -54,7 +54,7 @@
         logDeletion(deletion);
     }
     if (!changes.routes.empty()) {
-        applyRoutes();
+        applyRoutes(changes.origin);
     }
     if (!changes.upstreams.empty() || !changes.evacuations.empty()) {
         applyUpstreams();
@@ -65,16 +65,21 @@
     }
 }
 
-void EdgeServer::applyRoutes()
+void EdgeServer::applyRoutes(StateOrigin origin)
 {
+    const Instant now = ProcessClock::now();
     const std::shared_ptr<const RouteIndex> routes = m_mirror.routes();
-    logLine(LogLevel::Info,
-            "routes in force",
-            {{.name = "version", .value = static_cast<std::int64_t>(routes->version().value())},
-             {.name = "routes", .value = static_cast<std::int64_t>(routes->routes().routes.size())},
-             {.name = "accounts", .value = static_cast<std::int64_t>(routes->routes().accounts.size())},
-             {.name = "revision",
-              .value = static_cast<std::int64_t>(m_mirror.revision(StateKind::Routes).value_or(Revision()).value())}});
+    logLine(
+        LogLevel::Info,
+        "routes in force",
+        {{.name = "version", .value = static_cast<std::int64_t>(routes->version().value())},
+         {.name = "routes", .value = static_cast<std::int64_t>(routes->routes().routes.size())},
+         {.name = "accounts", .value = static_cast<std::int64_t>(routes->routes().accounts.size())},
+         {.name = "revision",
+          .value = static_cast<std::int64_t>(m_mirror.revision(StateKind::Routes).value_or(Revision()).value())},
+         {.name = "origin", .value = std::string(stateOriginName(origin))},
+         {.name = "after_start_ms", .value = toMilliseconds(now - m_startedAt)},
+         {.name = "behind_ms", .value = toMilliseconds(m_replicator.behindFor(StateKind::Routes, now).value_or(Duration()))}});
     m_callerHandler.setRoutes(routes);
     m_probeLoop.setRoutes(routes->routes());
     m_services = routes->routes().services;
--- a/src/edge/fleet.cpp
+++ b/src/edge/fleet.cpp
@@ -102,6 +102,11 @@
     m_dispatcher.setHandler(kind, std::move(handler));
 }
 
+bool Fleet::canReach(const InstanceId &instance) const
+{
+    return m_socket.canReach(instance);
+}
+
 void Fleet::send(const InstanceId &to, Wire::Envelope envelope)
 {
     m_socket.send(to, std::move(envelope));
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -38,6 +38,8 @@
     void leave();
     /** Sets the handler for messages of @p kind. */
     void setHandler(Wire::Body::KindCase kind, PeerDispatcher::BodyHandler handler);
+    /** Whether the address of @p instance is known; messages to other instances are dropped. */
+    [[nodiscard]] bool canReach(const InstanceId &instance) const;
     void send(const InstanceId &to, Wire::Envelope envelope);
     /**
      * Sends to every other live member. In another availability zone, one member receives the message and passes it on, because
--- a/src/edge/mirrorchanges.cpp
+++ b/src/edge/mirrorchanges.cpp
@@ -5,6 +5,21 @@
 
 namespace Filbertmount {
 
+std::string_view stateOriginName(StateOrigin origin)
+{
+    switch (origin) {
+    case StateOrigin::Watch:
+        return "watch";
+    case StateOrigin::Listing:
+        return "listing";
+    case StateOrigin::OldListing:
+        return "old-listing";
+    case StateOrigin::Instance:
+        return "instance";
+    }
+    return "unknown";
+}
+
 std::string_view deletionOutcomeName(DeletionOutcome outcome)
 {
     switch (outcome) {
--- a/src/edge/peersocket.cpp
+++ b/src/edge/peersocket.cpp
@@ -19,6 +19,7 @@
     , m_sent(metrics.counter(MetricNames::PeerMessages, {{"direction", "sent"}}))
     , m_sentBytes(metrics.counter(MetricNames::PeerBytes, {{"direction", "sent"}}))
     , m_dropped(metrics.counter(MetricNames::PeerDropped, {{"reason", "unsendable"}}))
+    , m_droppedWithoutAddress(metrics.counter(MetricNames::PeerDropped, {{"reason", "no-address"}}))
 {
     m_socket.non_blocking(true);
     receive();
@@ -55,6 +56,11 @@
     m_addresses.erase(peer);
 }
 
+bool PeerSocket::canReach(const InstanceId &peer) const
+{
+    return m_addresses.contains(peer);
+}
+
 void PeerSocket::send(PeerOutbox outbox)
 {
     for (PeerMessage &message : outbox) {
@@ -70,7 +76,7 @@
 {
     const auto address = m_addresses.find(to);
     if (address == m_addresses.end()) {
-        m_dropped.Increment();
+        m_droppedWithoutAddress.Increment();
         return;
     }
     sendTo(address->second, std::move(envelope));
--- a/src/edge/peersocket.h
+++ b/src/edge/peersocket.h
@@ -42,6 +42,8 @@
     /** Messages to @p peer are dropped from now on. */
     void removeAddress(const InstanceId &peer);
 
+    /** Whether messages to @p peer are sent, and not dropped for lack of an address. */
+    [[nodiscard]] bool canReach(const InstanceId &peer) const;
     void send(PeerOutbox outbox);
     void send(const InstanceId &to, Wire::Envelope envelope);
 
@@ -61,6 +63,7 @@
     prometheus::Counter &m_sent;
     prometheus::Counter &m_sentBytes;
     prometheus::Counter &m_dropped;
+    prometheus::Counter &m_droppedWithoutAddress;
 };
 
 } // namespace Filbertmount
--- a/src/edge/singlelisting.h
+++ b/src/edge/singlelisting.h
@@ -80,8 +80,10 @@
             startListing(false);
             return;
         }
-        m_onChange(m_mirror.applyListing(
-            m_kind, std::move(listed.objects), listed.storeRevision, ProcessClock::now(), StateSource::Instance));
+        MirrorChanges changes = m_mirror.applyListing(
+            m_kind, std::move(listed.objects), listed.storeRevision, ProcessClock::now(), StateSource::Instance);
+        changes.origin = mayBeStale ? StateOrigin::OldListing : StateOrigin::Listing;
+        m_onChange(changes);
     }
 
     StateKind m_kind;
--- a/src/edge/statefollower.h
+++ b/src/edge/statefollower.h
@@ -80,8 +80,10 @@
         auto &listed = std::get<StatePage>(result);
         reportUnidentified(listed.unidentified);
         const std::optional<Revision> before = m_mirror.revision(m_kind);
-        m_onResponse(
-            m_kind, before, m_mirror.applyListing(m_kind, std::move(listed.objects), listed.storeRevision, ProcessClock::now()));
+        MirrorChanges changes =
+            m_mirror.applyListing(m_kind, std::move(listed.objects), listed.storeRevision, ProcessClock::now());
+        changes.origin = StateOrigin::Listing;
+        m_onResponse(m_kind, before, changes);
         watch();
     }
 
@@ -120,10 +122,12 @@
         }
         recordResponse();
         const std::optional<Revision> before = m_mirror.revision(m_kind);
-        const auto &changes = std::get<StateChanges>(result);
-        reportUnidentified(changes.unidentified);
-        m_onResponse(m_kind, before, m_mirror.applyChanges(m_kind, changes, ProcessClock::now()));
-        if (changes.changes.empty()) {
+        const auto &received = std::get<StateChanges>(result);
+        reportUnidentified(received.unidentified);
+        MirrorChanges changes = m_mirror.applyChanges(m_kind, received, ProcessClock::now());
+        changes.origin = StateOrigin::Watch;
+        m_onResponse(m_kind, before, changes);
+        if (received.changes.empty()) {
             watch();
         } else {
             runAfter(m_options.pauseAfterChanges, [this] {
--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -193,6 +193,7 @@
 {
     KindState &state = m_kinds.at(kind);
     state.confirmedAt = now;
+    state.behindSince.reset();
     state.election.recordConfirmation(m_fleet.self(), now);
     state.repeatAt = now + DigestRepeatDelay;
     if (before) {
@@ -209,6 +210,12 @@
     return mayBeOlder && state.announced.hash != m_mirror.hash(kind) ? std::nullopt : state.election.lastConfirmed();
 }
 
+std::optional<Duration> StateReplicator::behindFor(StateKind kind, Instant now) const
+{
+    const std::optional<Instant> since = m_kinds.at(kind).behindSince;
+    return since ? std::optional(now - *since) : std::nullopt;
+}
+
 bool StateReplicator::shouldRead(StateKind kind, Instant now)
 {
     return m_kinds.at(kind).election.updateRole(now);
@@ -332,11 +339,13 @@
     }
     if (hasSameObjects && !hasOtherRoutes) {
         m_mirror.advanceRevision(*kind, theirs);
+        state.behindSince.reset();
         state.pulls.reset();
         state.wasLastFetchListing = false;
         state.election.recordConfirmation(from, confirmedAt);
         return;
     }
+    state.behindSince = state.behindSince.value_or(now);
     fetchNewerState(*kind, from, digest, now);
 }
 
--- a/src/edge/statereplicator.h
+++ b/src/edge/statereplicator.h
@@ -52,6 +52,8 @@
      * instance has announced a state that this one does not have yet.
      */
     [[nodiscard]] std::optional<Instant> confirmedAt(StateKind kind) const;
+    /** Returns how long ago another instance first announced a state that this one does not have yet; nothing if none did. */
+    [[nodiscard]] std::optional<Duration> behindFor(StateKind kind, Instant now) const;
     /** Whether this instance should read @p kind from the store now. */
     bool shouldRead(StateKind kind, Instant now);
     /** Discards received confirmations and contact after a suspension of the process, because their age is unknown. */
@@ -73,6 +75,8 @@
         std::optional<Instant> confirmedAt;
         /** The newest state that another instance announced. */
         Announcement announced;
+        /** When a state that this instance does not have yet was first announced. */
+        std::optional<Instant> behindSince;
         /** When the digest is sent again, in case it was lost. */
         std::optional<Instant> repeatAt;
         /** When this instance last reported that it is a seeker. */
--- a/src/edge/statereplicatorpulls.cpp
+++ b/src/edge/statereplicatorpulls.cpp
@@ -33,6 +33,11 @@
     if (!own || *own < Revision(pull.revision())) {
         return;
     }
+    if (!m_fleet.canReach(from)) {
+        logLine(LogLevel::Info,
+                "cannot send the state to an instance whose address is not known",
+                {{.name = "kind", .value = std::string(stateKindName(*kind))}, {.name = "to", .value = from.value()}});
+    }
     const bool hasState = *kind == StateKind::Upstreams && pull.have_revision() > 0;
     if (!hasState || !sendDifference(from, Revision(pull.have_revision()))) {
         sendFullState(*kind, from);
