Answer instances that are not known as members yet

Callers of an instance that had just started got answers by an older version of the routes for up to 1.2 s, although it had heard of the newer one. It asked for it, and the asked instance dropped its answer: messages are sent only to members, and the new process was not known as one there yet.

The socket remembers the address that the last message of such an instance came from, for 256 of them, and sends its answers there. The sender of a relayed message is not taken for its origin. Any answer is covered: states, digests, slot grants.

--- a/include/filbertmount/peer/peerdispatcher.h
+++ b/include/filbertmount/peer/peerdispatcher.h
@@ -42,6 +42,8 @@
     using BodyHandler = std::function<void(const InstanceId &from, const Wire::Body &body)>;
     /** Handles an envelope that carries member updates; called before the handlers of its bodies. */
     using MemberHandler = std::function<void(const InstanceId &from, const Wire::Envelope &envelope)>;
+    /** Called with the sender of each valid envelope, before the other handlers; not for messages that it relays. */
+    using SenderHandler = std::function<void(const InstanceId &from)>;
     /** Reports a dropped message; called for the first and then for every DropReportInterval-th drop. */
     using DropHandler = std::function<void(const Failure &failure)>;
 
@@ -59,6 +61,7 @@
 
     void setHandler(Wire::Body::KindCase kind, BodyHandler handler);
     void setMemberHandler(MemberHandler handler);
+    void setSenderHandler(SenderHandler handler);
 
     /** Handles one received message; drops it when it is not a valid envelope of this cluster. */
     void receive(std::string_view bytes);
@@ -75,6 +78,7 @@
     Options m_options;
     std::array<BodyHandler, KindCount> m_handlers;
     MemberHandler m_memberHandler;
+    SenderHandler m_senderHandler;
     std::atomic<std::uint64_t> m_accepted{0};
     std::atomic<std::uint64_t> m_malformed{0};
     std::atomic<std::uint64_t> m_oversized{0};
--- a/src/edge/fleet.cpp
+++ b/src/edge/fleet.cpp
@@ -50,6 +50,9 @@
             m_socket.send(m_membership.receive(from, body, ProcessClock::now()));
         });
     }
+    m_dispatcher.setSenderHandler([this](const InstanceId &from) {
+        m_socket.rememberSender(from);
+    });
     m_dispatcher.setHandler(Body::kRelay, [this](const InstanceId & /*from*/, const Body &body) {
         onRelay(body.relay());
     });
--- a/src/edge/peersocket.cpp
+++ b/src/edge/peersocket.cpp
@@ -32,16 +32,17 @@
 
 void PeerSocket::receive()
 {
-    m_socket.async_receive(Asio::buffer(m_buffer), [this, alive = m_alive](const error_code &error, std::size_t bytes) {
-        if (!*alive || error == Asio::error::operation_aborted) {
-            return;
-        }
-        // An ICMP error for a datagram sent earlier is reported here; no received message is affected.
-        if (!error) {
-            m_receiver({m_buffer.data(), bytes});
-        }
-        receive();
-    });
+    m_socket.async_receive_from(
+        Asio::buffer(m_buffer), m_lastSender, [this, alive = m_alive](const error_code &error, std::size_t bytes) {
+            if (!*alive || error == Asio::error::operation_aborted) {
+                return;
+            }
+            // An ICMP error for a datagram sent earlier is reported here; no received message is affected.
+            if (!error) {
+                m_receiver({m_buffer.data(), bytes});
+            }
+            receive();
+        });
 }
 
 void PeerSocket::setAddress(const InstanceId &peer, const std::string &address)
@@ -51,14 +52,41 @@
     }
 }
 
+void PeerSocket::rememberSender(const InstanceId &peer)
+{
+    if (m_addresses.contains(peer)) {
+        return;
+    }
+    if (!m_unlisted.contains(peer)) {
+        m_unlistedOrder.push_back(peer);
+    }
+    m_unlisted[peer] = m_lastSender;
+    if (m_unlistedOrder.size() > MaxUnlistedPeers) {
+        m_unlisted.erase(m_unlistedOrder.front());
+        m_unlistedOrder.pop_front();
+    }
+}
+
 void PeerSocket::removeAddress(const InstanceId &peer)
 {
     m_addresses.erase(peer);
+    m_unlisted.erase(peer);
+    std::erase(m_unlistedOrder, peer);
 }
 
 bool PeerSocket::canReach(const InstanceId &peer) const
 {
-    return m_addresses.contains(peer);
+    return addressOf(peer) != nullptr;
+}
+
+const Asio::ip::udp::endpoint *PeerSocket::addressOf(const InstanceId &peer) const
+{
+    const auto listed = m_addresses.find(peer);
+    if (listed != m_addresses.end()) {
+        return &listed->second;
+    }
+    const auto unlisted = m_unlisted.find(peer);
+    return unlisted != m_unlisted.end() ? &unlisted->second : nullptr;
 }
 
 void PeerSocket::send(PeerOutbox outbox)
@@ -74,12 +102,12 @@
 
 void PeerSocket::send(const InstanceId &to, Wire::Envelope envelope)
 {
-    const auto address = m_addresses.find(to);
-    if (address == m_addresses.end()) {
+    const Asio::ip::udp::endpoint *address = addressOf(to);
+    if (address == nullptr) {
         m_droppedWithoutAddress.Increment();
         return;
     }
-    sendTo(address->second, std::move(envelope));
+    sendTo(*address, std::move(envelope));
 }
 
 void PeerSocket::sendTo(const Asio::ip::udp::endpoint &address, Wire::Envelope envelope)
--- a/src/edge/peersocket.h
+++ b/src/edge/peersocket.h
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <boost/asio/ip/udp.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -20,12 +21,18 @@
  * Sends and receives envelopes as UDP datagrams. Runs on the IoLoop.
  *
  * All protocols between instances tolerate lost messages, so the socket does not retransmit.
+ *
+ * An instance that has just started sends requests before all others know it as a member. The answers go to the address that its
+ * last message came from.
  */
 class PeerSocket
 {
 public:
     using Receiver = std::function<void(std::string_view bytes)>;
 
+    /** Number of senders without a known address that are remembered; the oldest is forgotten first. */
+    static constexpr std::size_t MaxUnlistedPeers = 256;
+
     struct Options {
         std::string cluster;
         InstanceId self;
@@ -39,9 +46,10 @@
 
     /** Sets the address of @p peer, as "IP:port". */
     void setAddress(const InstanceId &peer, const std::string &address);
-    /** Messages to @p peer are dropped from now on. */
+    /** Messages to @p peer are dropped from now on, unless it sends one. */
     void removeAddress(const InstanceId &peer);
-
+    /** Sends messages to @p peer, whose address is not known, to the sender of the datagram received last. */
+    void rememberSender(const InstanceId &peer);
     /** Whether messages to @p peer are sent, and not dropped for lack of an address. */
     [[nodiscard]] bool canReach(const InstanceId &peer) const;
     void send(PeerOutbox outbox);
@@ -49,6 +57,8 @@
 
 private:
     void receive();
+    /** Returns the address of @p peer; null if none is known. */
+    [[nodiscard]] const Asio::ip::udp::endpoint *addressOf(const InstanceId &peer) const;
     void sendTo(const Asio::ip::udp::endpoint &address, Wire::Envelope envelope);
 
     Options m_options;
@@ -57,6 +67,12 @@
     Asio::ip::udp::socket m_socket;
     Receiver m_receiver;
     absl::flat_hash_map<InstanceId, Asio::ip::udp::endpoint> m_addresses;
+    /** Senders whose address is not in m_addresses. */
+    absl::flat_hash_map<InstanceId, Asio::ip::udp::endpoint> m_unlisted;
+    /** The keys of m_unlisted, oldest first. */
+    std::deque<InstanceId> m_unlistedOrder;
+    /** Where the datagram received last came from. */
+    Asio::ip::udp::endpoint m_lastSender;
     std::vector<char> m_buffer;
     std::string m_encoded;
     std::uint64_t m_lastSequence = 0;
--- a/src/peer/peerdispatcher.cpp
+++ b/src/peer/peerdispatcher.cpp
@@ -23,6 +23,11 @@
     m_memberHandler = std::move(handler);
 }
 
+void PeerDispatcher::setSenderHandler(SenderHandler handler)
+{
+    m_senderHandler = std::move(handler);
+}
+
 void PeerDispatcher::receive(std::string_view bytes)
 {
     if (bytes.size() > m_options.maxBytes) {
@@ -40,6 +45,9 @@
     }
     m_accepted.fetch_add(1, std::memory_order_relaxed);
     const InstanceId from(envelope.from());
+    if (m_senderHandler) {
+        m_senderHandler(from);
+    }
     if (m_memberHandler && envelope.members_size() > 0) {
         m_memberHandler(from, envelope);
     }
