Put no state of unknown age in force after a start

What callers saw: after a restart, requests were answered by an older version of the routes (404 on an added route, or run as before the change), up to 13 versions and 6.8 s behind, for up to 1.2 s.

Cause: the listing at the start may be seconds old, and it was in force at once. The same state reached other starting instances by pulls. Only configurations with accounts were read again. Held requests were also forwarded 400 ms after their arrival, whether or not the state was complete.

Change: StartConfirmation. A listing that may be old only prepares the start. It is in force once another instance with the same state, confirmed by the store within the last second, has sent its digest, or a current listing has come, which the instance makes itself 200 ms after its start if nobody has answered. A state from another instance is used without that if the store does not respond. An old listing is not sent to others. Requests that were held for 400 ms get 503. Routes, upstreams and evacuations go the same way, so the exception for accounts is gone; its test becomes one that demands the same of configurations without accounts.

--- a/include/filbertmount/edge/evacuationstart.h
+++ b/include/filbertmount/edge/evacuationstart.h
@@ -36,24 +36,28 @@
 };
 
 /**
- * Decides when an instance that is not a reader lists the evacuations itself because it has not received them from another one.
- * Sans-I/O. An instance that joins a running fleet receives them before the first listing is due, so that it makes no call.
+ * Decides when an instance that is not a reader lists the current state of a kind itself after its start, because no other one
+ * has confirmed what it knows. Sans-I/O. In a running fleet, others do so before the first listing is due, so that it makes no
+ * call.
  */
 class FirstListings
 {
 public:
-    /** Time from the start to the first listing; an instance finds the others and pulls their state in less than half of it. */
+    /** Time from the start to the first listing of a kind without which an instance may serve. */
     static constexpr Duration FirstDelay = std::chrono::milliseconds(700);
     /** After this many listings, only the elected readers call the store. */
     static constexpr int MaxListings = 3;
 
+    /** @param firstDelay time from the start to the first listing */
+    explicit FirstListings(Duration firstDelay = FirstDelay);
+
     void start(Instant now);
     /** Returns true when a listing is to be started now; the time to the next one doubles with each. */
-    [[nodiscard]] bool isDue(bool isKnown, Instant now);
+    [[nodiscard]] bool isDue(bool isConfirmed, Instant now);
 
 private:
     std::optional<Instant> m_next;
-    Duration m_delay = FirstDelay;
+    Duration m_delay;
     int m_listings = 0;
 };
 
--- a/include/filbertmount/edge/statemirror.h
+++ b/include/filbertmount/edge/statemirror.h
@@ -2,6 +2,7 @@
 
 #include <filbertmount/edge/evacuationtable.h>
 #include <filbertmount/edge/sharedstate.h>
+#include <filbertmount/edge/startconfirmation.h>
 #include <filbertmount/edge/storecontact.h>
 #include <filbertmount/types/instant.h>
 
@@ -137,6 +138,9 @@
     /** What is known about the reachability of the store; decides whether a deletion may be an expiry. */
     [[nodiscard]] StoreContact &contact();
     [[nodiscard]] const StoreContact &contact() const;
+    /** What is known about the age of the state since the start of the process. */
+    [[nodiscard]] StartConfirmation &startConfirmation();
+    [[nodiscard]] const StartConfirmation &startConfirmation() const;
     /** Removes kept upstreams whose grace time is over, or whose entry was deleted while another instance had contact. */
     MirrorChanges tick(Instant now);
 
@@ -239,6 +243,7 @@
     std::map<std::string, Revision> m_rejected;
     std::map<StateKind, Revision> m_revisions;
     StoreContact m_contact;
+    StartConfirmation m_startConfirmation;
 };
 
 } // namespace Filbertmount
--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -15,8 +15,8 @@
 constexpr int NotFound = 404;
 constexpr int TooManyRequests = 429;
 constexpr int Unavailable = 503;
-// In seconds; an instance receives its routes within about a second of its start.
-constexpr const char *RetryAfterNoRoutes = "0.3";
+// In seconds; an instance receives its state within about a second of its start.
+constexpr const char *RetryAfterNotStarted = "0.3";
 // In seconds; the connection closes with the response, and another instance can serve the request at once.
 constexpr const char *RetryAfterShutdown = "0.05";
 // In seconds; a newer configuration reaches all instances within about this time.
@@ -32,8 +32,9 @@
     : m_environment(environment)
     , m_splitSelector(seed)
     , m_heldRequests(environment.loop,
-                     [this](ServerRequest request, ResponseHandler respond) {
-                         return forward(std::move(request), std::move(respond));
+                     [this](const ServerRequest &request, ResponseHandler respond) {
+                         rejectBeforeStart(request, respond);
+                         return nullptr;
                      })
     , m_authenticator({.keyHeader = environment.dialect.apiKey})
     , m_accountMetrics(environment.metrics)
@@ -108,6 +109,14 @@
                           : m_heldRequests.hold(std::move(request), std::move(respond));
 }
 
+void CallerHandler::rejectBeforeStart(const ServerRequest &request, ResponseHandler &respond)
+{
+    respondDirectly(request,
+                    respond,
+                    {.status = Unavailable, .headers = {{.name = "Retry-After", .value = RetryAfterNotStarted}}},
+                    m_routes ? "the state is not complete yet" : "no routes known yet");
+}
+
 std::optional<Duration> CallerHandler::confirmationAge() const
 {
     const std::optional<Instant> confirmedAt = m_environment.routesConfirmedAt ? m_environment.routesConfirmedAt() : std::nullopt;
@@ -116,13 +125,6 @@
 
 std::shared_ptr<ActiveRequest> CallerHandler::forward(ServerRequest request, ResponseHandler respond, bool isFinal)
 {
-    if (!m_routes) {
-        respondDirectly(request,
-                        respond,
-                        {.status = Unavailable, .headers = {{.name = "Retry-After", .value = RetryAfterNoRoutes}}},
-                        "no routes known yet");
-        return nullptr;
-    }
     const ForwardRoute *route = m_routes->find(*findHeader(request.headers, "Host"), request.target);
     if (route == nullptr) {
         return handleUnknownRoute(std::move(request), std::move(respond), isFinal);
--- a/src/edge/callerhandler.h
+++ b/src/edge/callerhandler.h
@@ -27,7 +27,7 @@
     void setRoutes(std::shared_ptr<const RouteIndex> routes);
     /** Decides again on requests that wait for a newer configuration. Call after setRoutes() once the services are configured. */
     void retryPendingRequests();
-    /** Call once routes and upstreams are known. Forwards the held requests first, then all new ones. */
+    /** Call once routes and upstreams are in force. Forwards the held requests first, then all new ones. */
     void startForwarding();
     /**
      * From now on, connections are closed after their next response, and a request that may still be in progress when the process
@@ -41,6 +41,8 @@
     void onInvalidRequest(const std::string &client, int status, const std::string &reason) override;
 
 private:
+    /** Responds with 503 to a request for which the state did not arrive in time after the start. */
+    void rejectBeforeStart(const ServerRequest &request, ResponseHandler &respond);
     /** @param isFinal the request cannot wait any longer for a newer configuration */
     std::shared_ptr<ActiveRequest> forward(ServerRequest request, ResponseHandler respond, bool isFinal = false);
     /** Forwards a request that is admitted as @p account, which is null if it needs none. */
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -252,8 +252,15 @@
 
 bool EdgeServer::hasState(Instant now) const
 {
-    const bool hasTargets = m_mirror.routes() != nullptr && m_mirror.revision(StateKind::Upstreams).has_value();
-    return hasTargets && m_evacuationStart.mayForward(m_mirror.revision(StateKind::Evacuations).has_value(), now);
+    return m_isStateInForce && mayUseTargets(now)
+        && m_evacuationStart.mayForward(m_mirror.startConfirmation().mayUse(StateKind::Evacuations, now), now);
+}
+
+bool EdgeServer::mayUseTargets(Instant now) const
+{
+    const StartConfirmation &confirmation = m_mirror.startConfirmation();
+    return m_mirror.routes() != nullptr && m_mirror.revision(StateKind::Upstreams) && confirmation.mayUse(StateKind::Routes, now)
+        && confirmation.mayUse(StateKind::Upstreams, now);
 }
 
 void EdgeServer::tick()
@@ -302,15 +309,13 @@
 
 void EdgeServer::startForwardingWhenReady(Instant now)
 {
-    if (m_mirror.routes() && m_mirror.revision(StateKind::Upstreams)) {
-        m_evacuationStart.recordTargets(now);
-    }
+    putStateInForce(now);
     const bool hasJoined = m_fleet.memberCount() > 1 || now - m_startedAt >= JoinTimeout;
     if (m_isForwarding || !hasState(now) || !hasJoined) {
         return;
     }
     m_isForwarding = true;
-    if (m_evacuationStart.isWithoutEvacuations(m_mirror.revision(StateKind::Evacuations).has_value())) {
+    if (m_evacuationStart.isWithoutEvacuations(m_mirror.startConfirmation().mayUse(StateKind::Evacuations, now))) {
         logLine(LogLevel::Warning,
                 "forwarding without knowing which zones are evacuated: not received from the store or another instance");
     }
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -47,7 +47,8 @@
     void setResumeHandler(std::function<void()> handler);
     /** Reports not ready, finishes requests in progress and calls @p done, at the latest when the grace period ends. */
     void shutDown(std::function<void()> done);
-    /** Routes, upstreams and, if they are enabled, evacuations are known (see EvacuationStart) and no shutdown is in progress. */
+    /** Routes, upstreams and, if they are enabled, evacuations are in force (see EvacuationStart) and no shutdown is in progress.
+     */
     [[nodiscard]] bool isReady() const;
 
 private:
@@ -55,9 +56,13 @@
     /** Starts forwarding once the state is known and this instance has joined others, or JoinTimeout has passed. */
     void startForwardingWhenReady(Instant now);
     [[nodiscard]] bool hasState(Instant now) const;
+    /** Whether routes and upstreams are known and may be put in force (see StartConfirmation). */
+    [[nodiscard]] bool mayUseTargets(Instant now) const;
+    /** Puts routes and upstreams in force for the first time once they may be used. */
+    void putStateInForce(Instant now);
     /** Closes idle connections to evacuated upstreams, also those that attempts have returned since their evacuation. */
     void closeEvacuatedConnections();
-    void applyRoutes(StateOrigin origin);
+    void applyRoutes();
     void applyUpstreams();
     void applyInstances();
     /** Passes changes of the members on to m_known. */
@@ -111,6 +116,10 @@
     Instant m_shutdownStartedAt{};
     Instant m_startedAt;
     Instant m_lastTick;
+    /** Where the newest route set came from. */
+    StateOrigin m_routesOrigin = StateOrigin::Instance;
+    /** Whether routes and upstreams have been put in force since the start. */
+    bool m_isStateInForce = false;
     bool m_isForwarding = false;
     /** Instance count by which the configured retry budgets are divided. */
     double m_configuredInstances = 0;
--- a/src/edge/edgeserverstate.cpp
+++ b/src/edge/edgeserverstate.cpp
@@ -54,9 +54,12 @@
         logDeletion(deletion);
     }
     if (!changes.routes.empty()) {
-        applyRoutes(changes.origin);
+        m_routesOrigin = changes.origin;
     }
-    if (!changes.upstreams.empty() || !changes.evacuations.empty()) {
+    if (m_isStateInForce && !changes.routes.empty()) {
+        applyRoutes();
+    }
+    if (m_isStateInForce && (!changes.upstreams.empty() || !changes.evacuations.empty())) {
         applyUpstreams();
     }
     startForwardingWhenReady(ProcessClock::now());
@@ -65,7 +68,18 @@
     }
 }
 
-void EdgeServer::applyRoutes(StateOrigin origin)
+void EdgeServer::putStateInForce(Instant now)
+{
+    if (m_isStateInForce || !mayUseTargets(now)) {
+        return;
+    }
+    m_isStateInForce = true;
+    m_evacuationStart.recordTargets(now);
+    applyRoutes();
+    applyUpstreams();
+}
+
+void EdgeServer::applyRoutes()
 {
     const Instant now = ProcessClock::now();
     const std::shared_ptr<const RouteIndex> routes = m_mirror.routes();
@@ -77,7 +91,9 @@
          {.name = "accounts", .value = static_cast<std::int64_t>(routes->routes().accounts.size())},
          {.name = "revision",
           .value = static_cast<std::int64_t>(m_mirror.revision(StateKind::Routes).value_or(Revision()).value())},
-         {.name = "origin", .value = std::string(stateOriginName(origin))},
+         {.name = "origin", .value = std::string(stateOriginName(m_routesOrigin))},
+         {.name = "certainty",
+          .value = std::string(stateCertaintyName(m_mirror.startConfirmation().certainty(StateKind::Routes)))},
          {.name = "after_start_ms", .value = toMilliseconds(now - m_startedAt)},
          {.name = "behind_ms", .value = toMilliseconds(m_replicator.behindFor(StateKind::Routes, now).value_or(Duration()))}});
     m_callerHandler.setRoutes(routes);
--- a/src/edge/evacuationstart.cpp
+++ b/src/edge/evacuationstart.cpp
@@ -22,14 +22,19 @@
     return m_isEnabled && !isKnown;
 }
 
+FirstListings::FirstListings(Duration firstDelay)
+    : m_delay(firstDelay)
+{
+}
+
 void FirstListings::start(Instant now)
 {
     m_next = now + m_delay;
 }
 
-bool FirstListings::isDue(bool isKnown, Instant now)
+bool FirstListings::isDue(bool isConfirmed, Instant now)
 {
-    if (isKnown || !m_next || now < *m_next || m_listings >= MaxListings) {
+    if (isConfirmed || !m_next || now < *m_next || m_listings >= MaxListings) {
         return false;
     }
     ++m_listings;
--- a/src/edge/heldrequests.h
+++ b/src/edge/heldrequests.h
@@ -11,15 +11,15 @@
 namespace Filbertmount {
 
 /**
- * Holds requests that arrive before the instance has received routes and upstreams, about a tenth of a second after its
- * start. Runs on the IoLoop.
+ * Holds requests that arrive before the instance has put its state in force, some tenths of a second after its start. Runs on the
+ * IoLoop.
  */
 class HeldRequests
 {
 public:
     using Handler = std::function<std::shared_ptr<ActiveRequest>(ServerRequest, ResponseHandler)>;
 
-    /** @p fallback handles requests that were held for the maximum time, or that arrive while too many others are held. */
+    /** @p fallback rejects requests that were held for the maximum time, or that arrive while too many others are held. */
     HeldRequests(IoLoop &loop, Handler fallback);
 
     /** Holds @p request, or passes it to the fallback and returns its result when too many requests are held. */
--- a/src/edge/singlelisting.h
+++ b/src/edge/singlelisting.h
@@ -5,7 +5,6 @@
 #include <filbertmount/edge/statemirror.h>
 #include <filbertmount/telemetry/log.h>
 
-#include <algorithm>
 #include <functional>
 #include <string>
 #include <utility>
@@ -15,10 +14,9 @@
 /**
  * Lists one kind of the store's objects once, on an instance that is not a reader. Runs on the IoLoop.
  *
- * At process start, the listing lets an instance serve before it has found the others. It may then be seconds old: all
- * instances of a fleet list when they start together, and a call that accepts an old response costs a tenth of one that requests
- * the current state. The digests of the readers reveal what is outdated. Only a route set with accounts is read again at once,
- * so that no key is accepted that was removed meanwhile. If the call fails, the state comes from the other instances.
+ * At process start, the listing may be seconds old: all instances of a fleet list when they start together, and a call that
+ * accepts an old response costs a tenth of one that requests the current state. What it returns is not in force before it is
+ * confirmed (see StartConfirmation). If the call fails, the state comes from the other instances.
  */
 template<StoreProtocol Protocol>
 class SingleListing
@@ -44,26 +42,12 @@
     void read(bool mayBeStale)
     {
         m_calls.cancel();
-        startListing(mayBeStale);
-    }
-
-private:
-    void startListing(bool mayBeStale)
-    {
         m_listing.read(mayBeStale, [this, mayBeStale](StoreResult<StatePage> result) {
             onListed(std::move(result), mayBeStale);
         });
     }
 
-    /** Whether @p listed contains accounts and nothing newer is known. */
-    [[nodiscard]] bool wouldAdmitAccounts(const StatePage &listed) const
-    {
-        return !m_mirror.routes() && std::any_of(listed.objects.begin(), listed.objects.end(), [](const StateObject &object) {
-            const auto *routes = std::get_if<RouteSet>(&object.value);
-            return routes != nullptr && routes->requiresKey;
-        });
-    }
-
+private:
     void onListed(StoreResult<StatePage> result, bool mayBeStale)
     {
         if (const auto *error = std::get_if<StoreError>(&result)) {
@@ -72,14 +56,12 @@
                     {{.name = "kind", .value = std::string(stateKindName(m_kind))},
                      {.name = "problem", .value = std::string(storeProblemName(error->problem))},
                      {.name = "reason", .value = error->reason}});
+            m_mirror.startConfirmation().recordFailedListing();
             return;
         }
         auto &listed = std::get<StatePage>(result);
-        if (mayBeStale && wouldAdmitAccounts(listed)) {
-            // A key that a configuration of some seconds ago contains may have been removed since.
-            startListing(false);
-            return;
-        }
+        const StateCertainty certainty = mayBeStale ? StateCertainty::OldListing : StateCertainty::Current;
+        m_mirror.startConfirmation().record(m_kind, certainty, ProcessClock::now());
         MirrorChanges changes = m_mirror.applyListing(
             m_kind, std::move(listed.objects), listed.storeRevision, ProcessClock::now(), StateSource::Instance);
         changes.origin = mayBeStale ? StateOrigin::OldListing : StateOrigin::Listing;
--- a/src/edge/statefollower.h
+++ b/src/edge/statefollower.h
@@ -164,6 +164,7 @@
         if (m_kind != StateKind::Evacuations) {
             m_mirror.recordStoreCall(false, ProcessClock::now());
         }
+        m_mirror.startConfirmation().recordFailedListing();
         if (!m_hasFailed || error.problem == StoreProblem::Malformed) {
             logLine(LogLevel::Warning,
                     "a call to the store failed",
--- a/src/edge/statemirror.cpp
+++ b/src/edge/statemirror.cpp
@@ -57,6 +57,16 @@
     return m_contact;
 }
 
+StartConfirmation &StateMirror::startConfirmation()
+{
+    return m_startConfirmation;
+}
+
+const StartConfirmation &StateMirror::startConfirmation() const
+{
+    return m_startConfirmation;
+}
+
 bool StateMirror::isKept(StateKind kind, const std::string &name) const
 {
     const auto entry = m_upstreams.find(name);
--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -59,7 +59,7 @@
     });
 }
 
-Wire::Body StateReplicator::digestBody(StateKind kind, Instant now) const
+Wire::Body StateReplicator::digestBody(StateKind kind, Instant confirmedAt, Instant now) const
 {
     Wire::Body body;
     Wire::StateDigest &digest = *body.mutable_state_digest();
@@ -69,9 +69,8 @@
     if (kind == StateKind::Routes) {
         digest.set_routes_hash(m_mirror.routesHash());
     }
-    const Instant confirmedAt = m_kinds.at(kind).confirmedAt.value_or(now);
     digest.set_age_us(toMicroseconds(now - confirmedAt));
-    if (const std::optional<ContactSpan> &span = m_mirror.contact().span()) {
+    if (const std::optional<ContactSpan> &span = m_mirror.contact().span(); span && span->since <= confirmedAt) {
         digest.set_contact_us(toMicroseconds(confirmedAt - span->since));
     }
     digest.set_large(isLarge(kind));
@@ -92,7 +91,7 @@
 void StateReplicator::sendDigest(StateKind kind, Instant now)
 {
     Wire::Envelope envelope;
-    *envelope.add_bodies() = digestBody(kind, now);
+    *envelope.add_bodies() = digestBody(kind, m_kinds.at(kind).confirmedAt.value_or(now), now);
     m_fleet.sendToAll(envelope);
     // The changes before the digest took the same way, so that the digest does not overtake them.
     m_fleet.rotateRelays();
@@ -180,6 +179,7 @@
     if (!routes) {
         return false;
     }
+    recordReceived(StateKind::Routes, true);
     StateObject whole{.name = object.name(), .revision = Revision(object.revision()), .value = std::move(*routes)};
     m_onChange(m_mirror.applyChanges(StateKind::Routes,
                                      {.changes = {{.object = std::move(whole), .isDeleted = false}}, .storeRevision = revision},
@@ -193,6 +193,7 @@
 {
     KindState &state = m_kinds.at(kind);
     state.confirmedAt = now;
+    m_mirror.startConfirmation().record(kind, StateCertainty::Current, now);
     state.behindSince.reset();
     state.election.recordConfirmation(m_fleet.self(), now);
     state.repeatAt = now + DigestRepeatDelay;
@@ -253,6 +254,7 @@
         sendSeeking(kind, now);
     }
     pullMissingKinds(now);
+    requestConfirmations(now);
 }
 
 void StateReplicator::sendSeeking(StateKind kind, Instant now)
@@ -268,23 +270,6 @@
     m_fleet.sendToAll(envelope);
 }
 
-void StateReplicator::pullMissingKinds(Instant now)
-{
-    for (auto &[kind, state] : m_kinds) {
-        if (m_mirror.revision(kind)) {
-            continue;
-        }
-        const std::vector<InstanceId> members = m_fleet.memberIds();
-        if (members.size() < 2) {
-            continue;
-        }
-        const InstanceId &asked = members[m_nextPullSource++ % members.size()];
-        if (asked != m_fleet.self()) {
-            pullIfDue(kind, asked, Revision(), now);
-        }
-    }
-}
-
 InstanceId StateReplicator::pullSource(const InstanceId &from)
 {
     const bool isCoordinator = std::find(m_coordinators.begin(), m_coordinators.end(), from) != m_coordinators.end();
@@ -320,6 +305,13 @@
     m_mirror.contact().recordSpan({.since = confirmedAt - fromMicroseconds(digest.contact_us()), .until = confirmedAt});
     const Revision theirs(digest.revision());
     const std::optional<Revision> own = m_mirror.revision(*kind);
+    const bool hasSameObjects = own && digest.hash() == m_mirror.hash(*kind);
+    const bool hasOtherRoutes =
+        hasSameObjects && *kind == StateKind::Routes && digest.has_routes_hash() && digest.routes_hash() != m_mirror.routesHash();
+    if (hasSameObjects && !hasOtherRoutes) {
+        const bool isCurrent = now - confirmedAt <= StartConfirmation::MaxAge;
+        m_mirror.startConfirmation().record(*kind, isCurrent ? StateCertainty::Current : StateCertainty::Instance, now);
+    }
     if (own && theirs < *own) {
         return;
     }
@@ -327,9 +319,6 @@
     if (theirs >= state.announced.revision) {
         state.announced = {.revision = theirs, .hash = digest.hash()};
     }
-    const bool hasSameObjects = own && digest.hash() == m_mirror.hash(*kind);
-    const bool hasOtherRoutes =
-        hasSameObjects && *kind == StateKind::Routes && digest.has_routes_hash() && digest.routes_hash() != m_mirror.routesHash();
     if (hasOtherRoutes) {
         logLine(
             LogLevel::Warning,
@@ -366,6 +355,13 @@
     m_startSingleListing(kind);
 }
 
+void StateReplicator::recordReceived(StateKind kind, bool isComplete)
+{
+    if (isComplete) {
+        m_mirror.startConfirmation().record(kind, StateCertainty::Instance, ProcessClock::now());
+    }
+}
+
 void StateReplicator::onPush(const InstanceId &from, const Wire::StatePush &push)
 {
     const std::optional<StateKind> kind = replicatedKind(push.kind());
@@ -400,6 +396,7 @@
     }
     // Each change is valid by itself. The digest that follows shows whether earlier ones were missed.
     const bool isComplete = *own >= Revision(push.base());
+    recordReceived(*kind, isComplete);
     m_onChange(
         m_mirror.applyChanges(*kind,
                               {.changes = std::move(changes), .storeRevision = isComplete ? Revision(push.revision()) : *own},
@@ -441,11 +438,13 @@
         // Without the base, the changes are valid, but earlier ones are missing.
         if (own && *own < revision) {
             const bool isComplete = *own >= Revision(lastPart.base());
+            recordReceived(kind, isComplete);
             const StateChanges changes{.changes = std::move(all), .storeRevision = isComplete ? revision : *own};
             m_onChange(m_mirror.applyChanges(kind, changes, now, StateSource::Instance));
         }
         return;
     }
+    recordReceived(kind, true);
     if (kind != StateKind::Routes) {
         m_onChange(m_mirror.applyFullState(kind, std::move(all), revision, now));
         return;
--- a/src/edge/statereplicator.h
+++ b/src/edge/statereplicator.h
@@ -27,7 +27,8 @@
  *
  * An instance that receives a response from the store pushes the changes and a digest of its state to all others. An instance
  * whose state is older than the digest pulls the later changes from the sender; one whose state differs although it is not older,
- * or whose missing changes are no longer known, pulls all objects. An instance without a state pulls it from any other one.
+ * or whose missing changes are no longer known, pulls all objects. An instance without a state pulls it from any other one, and
+ * one whose state is not confirmed since its start asks others for their digests (see StartConfirmation).
  */
 class StateReplicator
 {
@@ -82,6 +83,8 @@
         /** When this instance last reported that it is a seeker. */
         std::optional<Instant> seekingSentAt;
         PullBackoff pulls;
+        /** Requests for digests that confirm the state after the start. */
+        PullBackoff digestRequests;
         /** Whether a large state was last fetched by a single listing; the next fetch is a pull, in case the listing failed. */
         bool wasLastFetchListing = false;
         PartCollector incoming;
@@ -116,13 +119,22 @@
     /** Sends to all if this instance is a coordinator, else only to the coordinators, from which the others pull. */
     void sendToAllOrCoordinators(const Wire::Envelope &envelope);
     void pullMissingKinds(Instant now);
+    /** Requests digests from other instances until the state of each kind is confirmed. */
+    void requestConfirmations(Instant now);
+    /** Returns another member, a different one each time; nothing if there is none. */
+    [[nodiscard]] std::optional<InstanceId> nextMember();
+    /** Sends a digest if the store has confirmed the state to any instance lately. */
+    void sendConfirmation(StateKind kind, const InstanceId &to, Instant now);
     void onDigest(const InstanceId &from, const Wire::StateDigest &digest);
     void onPull(const InstanceId &from, const Wire::StatePull &pull);
     void onPush(const InstanceId &from, const Wire::StatePush &push);
     void receivePart(const InstanceId &from, StateKind kind, const Wire::StatePush &push, std::vector<StateChange> changes);
+    /** Records that this instance gets the state of another one; with @p isComplete false, only a part of it. */
+    void recordReceived(StateKind kind, bool isComplete);
     /** Applies a complete set of parts. */
     void applyParts(StateKind kind, const Wire::StatePush &lastPart, std::vector<StateChange> all);
-    [[nodiscard]] Wire::Body digestBody(StateKind kind, Instant now) const;
+    /** @param confirmedAt when the store confirmed the state */
+    [[nodiscard]] Wire::Body digestBody(StateKind kind, Instant confirmedAt, Instant now) const;
     void followMembers();
     /** Reports that this instance is a seeker (see ReaderElection), which limits the number of seekers. */
     void sendSeeking(StateKind kind, Instant now);
--- a/src/edge/statereplicatorpulls.cpp
+++ b/src/edge/statereplicatorpulls.cpp
@@ -6,6 +6,60 @@
 
 namespace Filbertmount {
 
+std::optional<InstanceId> StateReplicator::nextMember()
+{
+    const std::vector<InstanceId> members = m_fleet.memberIds();
+    for (std::size_t tries = 0; tries < members.size(); ++tries) {
+        const InstanceId &member = members[m_nextPullSource++ % members.size()];
+        if (member != m_fleet.self()) {
+            return member;
+        }
+    }
+    return std::nullopt;
+}
+
+void StateReplicator::pullMissingKinds(Instant now)
+{
+    for (auto &[kind, state] : m_kinds) {
+        if (m_mirror.revision(kind)) {
+            continue;
+        }
+        if (const std::optional<InstanceId> asked = nextMember()) {
+            pullIfDue(kind, *asked, Revision(), now);
+        }
+    }
+}
+
+void StateReplicator::requestConfirmations(Instant now)
+{
+    for (auto &[kind, state] : m_kinds) {
+        const StateCertainty certainty = m_mirror.startConfirmation().certainty(kind);
+        if (certainty == StateCertainty::None || certainty == StateCertainty::Current) {
+            continue;
+        }
+        const std::optional<InstanceId> asked = nextMember();
+        if (!asked || !state.digestRequests.tryPull(now)) {
+            continue;
+        }
+        Wire::Envelope envelope;
+        Wire::StatePull &request = *envelope.add_bodies()->mutable_state_pull();
+        request.set_kind(*toWire(kind));
+        request.set_digest_only(true);
+        m_fleet.send(*asked, std::move(envelope));
+    }
+}
+
+void StateReplicator::sendConfirmation(StateKind kind, const InstanceId &to, Instant now)
+{
+    const std::optional<Instant> confirmed = confirmedAt(kind);
+    if (!confirmed || now - *confirmed > StartConfirmation::MaxAge) {
+        return;
+    }
+    Wire::Envelope envelope;
+    *envelope.add_bodies() = digestBody(kind, *confirmed, now);
+    m_fleet.send(to, std::move(envelope));
+}
+
 void StateReplicator::pullIfDue(StateKind kind, const InstanceId &from, Revision wanted, Instant now)
 {
     if (m_kinds.at(kind).pulls.tryPull(now)) {
@@ -33,6 +87,13 @@
     if (!own || *own < Revision(pull.revision())) {
         return;
     }
+    if (pull.digest_only()) {
+        sendConfirmation(*kind, from, ProcessClock::now());
+        return;
+    }
+    if (m_mirror.startConfirmation().certainty(*kind) == StateCertainty::OldListing) {
+        return;
+    }
     if (!m_fleet.canReach(from)) {
         logLine(LogLevel::Info,
                 "cannot send the state to an instance whose address is not known",
--- a/src/edge/stateservice.h
+++ b/src/edge/stateservice.h
@@ -77,7 +77,10 @@
         });
         m_routesListing.read(true);
         m_upstreamsListing.read(true);
-        m_firstListings.start(ProcessClock::now());
+        const Instant now = ProcessClock::now();
+        m_routesConfirmation.start(now);
+        m_upstreamsConfirmation.start(now);
+        m_evacuationsConfirmation.start(now);
         m_registration.start();
     }
 
@@ -101,6 +104,9 @@
 
 private:
     static constexpr Duration DecisionInterval = std::chrono::milliseconds(40);
+    /** Instances of a running fleet confirm the state of one that starts in a quarter of this time, without a call to the store.
+     */
+    static constexpr Duration ConfirmationDelay = std::chrono::milliseconds(200);
 
     typename StateFollower<Protocol>::StoreResponseHandler storeResponseHandler()
     {
@@ -121,14 +127,16 @@
         startOrStop(m_upstreamsFollower, m_replicator.shouldRead(StateKind::Upstreams, now), StateKind::Upstreams);
         if (m_evacuationsFollower) {
             startOrStop(*m_evacuationsFollower, m_replicator.shouldRead(StateKind::Evacuations, now), StateKind::Evacuations);
-            listMissingEvacuations(now);
+            listIfDue(m_evacuationsConfirmation, *m_evacuationsListing, StateKind::Evacuations, now);
         }
+        listIfDue(m_routesConfirmation, m_routesListing, StateKind::Routes, now);
+        listIfDue(m_upstreamsConfirmation, m_upstreamsListing, StateKind::Upstreams, now);
     }
 
-    void listMissingEvacuations(Instant now)
+    void listIfDue(FirstListings &first, SingleListing<Protocol> &listing, StateKind kind, Instant now)
     {
-        if (m_firstListings.isDue(m_mirror.revision(StateKind::Evacuations).has_value(), now)) {
-            m_evacuationsListing->read(false);
+        if (first.isDue(m_mirror.startConfirmation().certainty(kind) == StateCertainty::Current, now)) {
+            listing.read(false);
         }
     }
 
@@ -156,7 +164,9 @@
     /** Both exist only if evacuations are read. */
     std::optional<StateFollower<Protocol>> m_evacuationsFollower;
     std::optional<SingleListing<Protocol>> m_evacuationsListing;
-    FirstListings m_firstListings;
+    FirstListings m_routesConfirmation{ConfirmationDelay};
+    FirstListings m_upstreamsConfirmation{ConfirmationDelay};
+    FirstListings m_evacuationsConfirmation;
     InstanceRegistration<Protocol> m_registration;
     RegistrationUpkeep<Protocol> m_upkeep;
     const StateMirror &m_mirror;
--- a/tests/edge/singlelistingtest.cpp
+++ b/tests/edge/singlelistingtest.cpp
@@ -23,12 +23,23 @@
 
 } // namespace
 
-// After a restart of all instances, a listing some seconds old made them accept a key that had been removed.
-TEST_CASE("single listing: an old configuration with accounts is not used but read again")
+// An old configuration accepted a removed key, or answered 404 on an added route, until the digest of a reader arrived.
+TEST_CASE("single listing: an old configuration may not be put in force, one that the store has confirmed may")
 {
-    for (const bool hasAccounts : {true, false}) {
-        CAPTURE(hasAccounts);
-        const std::string accounts = hasAccounts ? R"(,"tenants":{"columns":["name","api_keys"],"rows":[["a",["k"]]]})" : "";
+    const std::string accounts = R"(,"tenants":{"columns":["name","api_keys"],"rows":[["a",["k"]]]})";
+    const struct {
+        const char *name;
+        std::string accounts;
+        bool mayBeStale;
+        bool mayUse;
+    } rows[] = {
+        {"old, with accounts", accounts, true, false},
+        {"old, without accounts", {}, true, false},
+        {"current, with accounts", accounts, false, true},
+        {"current, without accounts", {}, false, true},
+    };
+    for (const auto &row : rows) {
+        CAPTURE(row.name);
         IoLoop loop{1};
         std::vector<std::string> calls;
         ScriptedServer server(loop, [&](ScriptedPeer &peer) {
@@ -37,7 +48,7 @@
             }
             calls.push_back(std::exchange(peer.received, {}));
             const bool mayBeStale = calls.back().find("stale_ok=1") != std::string::npos;
-            peer.send(listing(mayBeStale ? 1 : 2, accounts));
+            peer.send(listing(mayBeStale ? 1 : 2, row.accounts));
         });
         StateMirror mirror;
         Metrics metrics;
@@ -48,11 +59,12 @@
                                                       mirror,
                                                       metrics,
                                                       [](const MirrorChanges & /*changes*/) {});
-        routes.read(true);
+        routes.read(row.mayBeStale);
         REQUIRE(runUntil(loop, [&mirror] {
             return mirror.routes() != nullptr;
         }));
-        CHECK(mirror.routes()->version() == RouteSetVersion(hasAccounts ? 2 : 1));
-        CHECK(calls.size() == (hasAccounts ? 2 : 1));
+        CHECK(mirror.startConfirmation().mayUse(StateKind::Routes, ProcessClock::now()) == row.mayUse);
+        CHECK(mirror.routes()->version() == RouteSetVersion(row.mayBeStale ? 1 : 2));
+        CHECK(calls.size() == 1);
     }
 }
--- a/tests/edge/statereplicatortest.cpp
+++ b/tests/edge/statereplicatortest.cpp
@@ -317,6 +317,68 @@
     CHECK(pair.reader.replicator.confirmedAt(StateKind::Routes).has_value());
 }
 
+// Each call to the store is billed: an instance that starts must not list what others have confirmed a moment ago.
+TEST_CASE("state replicator: others confirm an old listing, and what differs in it is replaced before")
+{
+    const struct {
+        const char *name;
+        std::uint64_t listedVersion;
+        std::uint64_t listedRevision;
+    } rows[] = {
+        {"same version, older revision", 3, 9},
+        {"same version, newer revision", 3, 11},
+        {"older version", 2, 8},
+        {"older version, newer revision", 2, 11},
+    };
+    for (const auto &row : rows) {
+        CAPTURE(row.name);
+        IoLoop loop{1};
+        Node reader{loop, "127.0.0.31", {}};
+        reader.applyStoreResponse(routes(3, 4), 10);
+        Node starting{loop, "127.0.0.32", {std::string("127.0.0.31") + PeerPort}};
+        const Instant now = ProcessClock::now();
+        StartConfirmation &confirmation = starting.mirror.startConfirmation();
+        confirmation.record(StateKind::Routes, StateCertainty::OldListing, now);
+        starting.mirror.applyListing(
+            StateKind::Routes,
+            {{.name = "main", .revision = Revision(row.listedRevision), .value = routes(row.listedVersion, 4)}},
+            Revision(row.listedRevision),
+            now);
+        Instant next = now + 100ms;
+        CHECK(runUntil(loop, [&] {
+            if (ProcessClock::now() >= next) {
+                // The reader's watch ends without changes.
+                next += 100ms;
+                reader.applyStoreResponse(routes(3, 4), 12);
+            }
+            CHECK((starting.has(3) || confirmation.certainty(StateKind::Routes) != StateCertainty::Current));
+            return starting.has(3) && confirmation.certainty(StateKind::Routes) == StateCertainty::Current;
+        }));
+    }
+}
+
+// All instances had started together: one got the old listing of another one and took it for the state of the fleet.
+TEST_CASE("state replicator: an instance with an old listing does not send it to others")
+{
+    IoLoop loop{1};
+    Node first{loop, "127.0.0.31", {}};
+    Node second{loop, "127.0.0.32", {std::string("127.0.0.31") + PeerPort}};
+    REQUIRE(runUntil(loop, [&] {
+        return first.fleet.memberCount() == 2 && second.fleet.memberCount() == 2;
+    }));
+    first.mirror.applyListing(
+        StateKind::Routes, {{.name = "main", .revision = Revision(9), .value = routes(2, 4)}}, Revision(9), ProcessClock::now());
+    first.mirror.startConfirmation().record(StateKind::Routes, StateCertainty::OldListing, ProcessClock::now());
+    runUntil(loop, [end = ProcessClock::now() + 500ms] {
+        return ProcessClock::now() >= end;
+    });
+    CHECK(second.mirror.routes() == nullptr);
+    first.applyStoreResponse(routes(3, 4), 10);
+    CHECK(runUntil(loop, [&] {
+        return second.has(3);
+    }));
+}
+
 // A reader that sent 1,800 routes to 143 others saturated its link for seconds: two instances received them too late.
 TEST_CASE("state replicator: for many routes, only the digest is sent, and the other instance reads the store")
 {
