--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -179,12 +179,12 @@
     if (!routes) {
         return false;
     }
-    recordReceived(StateKind::Routes, true);
+    const Instant now = ProcessClock::now();
     StateObject whole{.name = object.name(), .revision = Revision(object.revision()), .value = std::move(*routes)};
-    m_onChange(m_mirror.applyChanges(StateKind::Routes,
-                                     {.changes = {{.object = std::move(whole), .isDeleted = false}}, .storeRevision = revision},
-                                     ProcessClock::now(),
-                                     StateSource::Instance));
+    const StateChanges received{.changes = {{.object = std::move(whole), .isDeleted = false}}, .storeRevision = revision};
+    const MirrorChanges changes = m_mirror.applyChanges(StateKind::Routes, received, now, StateSource::Instance);
+    recordReceived(StateKind::Routes, now);
+    m_onChange(changes);
     m_deltaBaseRoutes = m_mirror.routes();
     return true;
 }
@@ -317,7 +317,7 @@
     }
     KindState &state = m_kinds.at(*kind);
     if (theirs >= state.announced.revision) {
-        state.announced = {.revision = theirs, .hash = digest.hash()};
+        state.announced = {.revision = theirs, .hash = digest.hash(), .confirmedAt = confirmedAt};
     }
     if (hasOtherRoutes) {
         logLine(
@@ -355,11 +355,12 @@
     m_startSingleListing(kind);
 }
 
-void StateReplicator::recordReceived(StateKind kind, bool isComplete)
+void StateReplicator::recordReceived(StateKind kind, Instant now)
 {
-    if (isComplete) {
-        m_mirror.startConfirmation().record(kind, StateCertainty::Instance, ProcessClock::now());
-    }
+    const Announcement &announced = m_kinds.at(kind).announced;
+    const bool isAnnounced = announced.confirmedAt && announced.hash == m_mirror.hash(kind);
+    const bool isCurrent = isAnnounced && now - *announced.confirmedAt <= StartConfirmation::MaxAge;
+    m_mirror.startConfirmation().record(kind, isCurrent ? StateCertainty::Current : StateCertainty::Instance, now);
 }
 
 void StateReplicator::onPush(const InstanceId &from, const Wire::StatePush &push)
@@ -395,13 +396,20 @@
         return;
     }
     // Each change is valid by itself. The digest that follows shows whether earlier ones were missed.
-    const bool isComplete = *own >= Revision(push.base());
-    recordReceived(*kind, isComplete);
-    m_onChange(
-        m_mirror.applyChanges(*kind,
-                              {.changes = std::move(changes), .storeRevision = isComplete ? Revision(push.revision()) : *own},
-                              ProcessClock::now(),
-                              StateSource::Instance));
+    applyDifference(*kind, push, std::move(changes), ProcessClock::now());
+}
+
+void StateReplicator::applyDifference(StateKind kind, const Wire::StatePush &push, std::vector<StateChange> received, Instant now)
+{
+    const Revision own = *m_mirror.revision(kind);
+    const bool isComplete = own >= Revision(push.base());
+    const Revision revision = isComplete ? Revision(push.revision()) : own;
+    const MirrorChanges changes =
+        m_mirror.applyChanges(kind, {.changes = std::move(received), .storeRevision = revision}, now, StateSource::Instance);
+    if (isComplete) {
+        recordReceived(kind, now);
+    }
+    m_onChange(changes);
 }
 
 void StateReplicator::receivePart(const InstanceId &from,
@@ -437,16 +445,14 @@
     if (lastPart.difference_parts() > 0) {
         // Without the base, the changes are valid, but earlier ones are missing.
         if (own && *own < revision) {
-            const bool isComplete = *own >= Revision(lastPart.base());
-            recordReceived(kind, isComplete);
-            const StateChanges changes{.changes = std::move(all), .storeRevision = isComplete ? revision : *own};
-            m_onChange(m_mirror.applyChanges(kind, changes, now, StateSource::Instance));
+            applyDifference(kind, lastPart, std::move(all), now);
         }
         return;
     }
-    recordReceived(kind, true);
     if (kind != StateKind::Routes) {
-        m_onChange(m_mirror.applyFullState(kind, std::move(all), revision, now));
+        const MirrorChanges changes = m_mirror.applyFullState(kind, std::move(all), revision, now);
+        recordReceived(kind, now);
+        m_onChange(changes);
         return;
     }
     std::vector<StateObject> objects;
@@ -454,7 +460,10 @@
     for (StateChange &change : all) {
         objects.push_back(std::move(change.object));
     }
-    m_onChange(m_mirror.applyListing(kind, joinPieces(std::move(objects)), revision, now, StateSource::Instance));
+    const MirrorChanges changes =
+        m_mirror.applyListing(kind, joinPieces(std::move(objects)), revision, now, StateSource::Instance);
+    recordReceived(kind, now);
+    m_onChange(changes);
     m_deltaBaseRoutes = m_mirror.routes();
 }
 
--- a/src/edge/statereplicator.h
+++ b/src/edge/statereplicator.h
@@ -67,6 +67,8 @@
     struct Announcement {
         Revision revision;
         std::uint64_t hash = 0;
+        /** When the store confirmed it; nothing before the first announcement. */
+        std::optional<Instant> confirmedAt = {};
     };
 
     /** State of the replication of one kind. */
@@ -129,8 +131,10 @@
     void onPull(const InstanceId &from, const Wire::StatePull &pull);
     void onPush(const InstanceId &from, const Wire::StatePush &push);
     void receivePart(const InstanceId &from, StateKind kind, const Wire::StatePush &push, std::vector<StateChange> changes);
-    /** Records that this instance gets the state of another one; with @p isComplete false, only a part of it. */
-    void recordReceived(StateKind kind, bool isComplete);
+    /** Applies the changes of @p push; the revision rises only if no earlier change is missing. */
+    void applyDifference(StateKind kind, const Wire::StatePush &push, std::vector<StateChange> received, Instant now);
+    /** Records that this instance has received the state of another one, which may be the one that was announced. */
+    void recordReceived(StateKind kind, Instant now);
     /** Applies a complete set of parts. */
     void applyParts(StateKind kind, const Wire::StatePush &lastPart, std::vector<StateChange> all);
     /** @param confirmedAt when the store confirmed the state */
