Confirm the state after a suspension before requests are answered by it

What callers saw: instances that had been suspended answered requests as a version replaced 3.6 s before says, for up to 0.7 s after they woke, on sites with accounts too.

Cause: the state was read again after a suspension, but it stayed in force meanwhile. And what had arrived during the suspension was handled as if it were new: the ages in digests are relative to their arrival, so a digest from the time before counted as a confirmation of the last second.

Change: a suspension is detected before any message, store response or request is handled. It takes all confirmations back, holds requests until the state is confirmed like at a start, and discards the datagrams, listings and watches of the time before. If the store does not respond then, the state is used as it is.

The test of the server failed before (version 5 in place of 9).

--- a/apps/filbertmount-edge/main.cpp
+++ b/apps/filbertmount-edge/main.cpp
@@ -102,7 +102,11 @@
     EdgeServer server(loop, settings, Platform::httpDialect());
     StateService<Platform::StoreProtocol> state(loop,
                                                 Platform::StoreProtocol(),
-                                                {.calls = {.store = *toTcpEndpoint(settings.store.text())},
+                                                {.calls = {.store = *toTcpEndpoint(settings.store.text()),
+                                                           .hasResumed =
+                                                               [&server] {
+                                                                   return server.detectSuspension();
+                                                               }},
                                                  .instanceName = instanceNameFrom(server.peerAddress()),
                                                  .instance = {.peerAddress = server.peerAddress()},
                                                  .readsEvacuations = settings.zones.evacuations,
--- a/include/filbertmount/edge/startconfirmation.h
+++ b/include/filbertmount/edge/startconfirmation.h
@@ -25,7 +25,8 @@
 std::string_view stateCertaintyName(StateCertainty certainty);
 
 /**
- * Decides whether the state that an instance receives after its start may be put in force. Sans-I/O, not thread-safe.
+ * Decides whether the state that an instance has after its start or after a suspension may be in force. Sans-I/O, not
+ * thread-safe.
  *
  * A state is put in force once the store has confirmed it, either to this instance or to another one that has the same state.
  * If the store does not respond to this instance, the state of another one is the newest to be had. A listing that may be old is
@@ -39,6 +40,8 @@
     /** Longest time from the first state of a kind until it is used without a confirmation. */
     static constexpr Duration MaxWait = std::chrono::seconds(3);
 
+    /** Forgets all confirmations after a suspension of the process; what is known is then like the state of another instance. */
+    void restart(Instant now);
     /** Records that there is a state of at least this certainty. */
     void record(StateKind kind, StateCertainty certainty, Instant now);
     /** Records that the store did not respond to a listing of this instance. */
--- a/src/edge/callenvironment.h
+++ b/src/edge/callenvironment.h
@@ -43,6 +43,8 @@
     std::function<std::optional<Instant>()> routesConfirmedAt = {};
     /** Null if quotas of client accounts are not enforced. */
     QuotaGate *quotas = nullptr;
+    /** Called before a request is handled; may let the handler hold requests. Empty if there is nothing to do. */
+    std::function<void()> beforeRequest = {};
 };
 
 /** A request with its matched route, service and time limits. */
--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -55,6 +55,11 @@
     });
 }
 
+void CallerHandler::holdRequests()
+{
+    m_isForwarding = false;
+}
+
 void CallerHandler::setRoutes(std::shared_ptr<const RouteIndex> routes)
 {
     m_routes = std::move(routes);
@@ -105,6 +110,9 @@
 
 std::shared_ptr<ActiveRequest> CallerHandler::handle(ServerRequest request, ResponseHandler respond)
 {
+    if (m_environment.beforeRequest) {
+        m_environment.beforeRequest();
+    }
     return m_isForwarding ? forward(std::move(request), std::move(respond))
                           : m_heldRequests.hold(std::move(request), std::move(respond));
 }
--- a/src/edge/callerhandler.h
+++ b/src/edge/callerhandler.h
@@ -29,6 +29,8 @@
     void retryPendingRequests();
     /** Call once routes and upstreams are in force. Forwards the held requests first, then all new ones. */
     void startForwarding();
+    /** Holds new requests until startForwarding() is called again. */
+    void holdRequests();
     /**
      * From now on, connections are closed after their next response, and a request that may still be in progress when the process
      * ends is refused as not run, so that its caller sends it to another instance.
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -156,7 +156,11 @@
                         [this] {
                             return m_replicator.confirmedAt(StateKind::Routes);
                         },
-                    .quotas = m_quotas.get()}
+                    .quotas = m_quotas.get(),
+                    .beforeRequest =
+                        [this] {
+                            detectSuspension();
+                        }}
     , m_callerHandler(m_environment, randomSeed())
     , m_readinessHandler(m_dialect.readinessPath,
                          [this]() -> ServerResponse {
@@ -183,6 +187,9 @@
     , m_lastTick(m_startedAt)
 {
     m_fleet.setRouter(m_router);
+    m_fleet.setReceiveFilter([this] {
+        return detectSuspension();
+    });
     m_fleet.setHandler(Wire::Body::kCrashStrike, [this](const InstanceId &from, const Wire::Body &body) {
         m_crashGuard.receive(from, body.crash_strike());
     });
@@ -266,19 +273,8 @@
 void EdgeServer::tick()
 {
     const Instant now = ProcessClock::now();
-    const Duration gap = now - m_lastTick;
+    detectSuspension();
     m_lastTick = now;
-    if (gap > SuspensionThreshold) {
-        logLine(LogLevel::Warning,
-                "the process did not run for a while; reading the store again",
-                {{.name = "gap_ms", .value = toMilliseconds(gap)}});
-        if (m_quotas) {
-            m_quotas->onResume(now);
-        }
-        if (m_onResume) {
-            m_onResume();
-        }
-    }
     m_fleet.tick(now);
     followMembers(now);
     m_router.tick(now);
@@ -307,6 +303,31 @@
     }
 }
 
+bool EdgeServer::detectSuspension()
+{
+    const Instant now = ProcessClock::now();
+    const Duration gap = now - m_lastTick;
+    if (gap <= SuspensionThreshold) {
+        return false;
+    }
+    m_lastTick = now;
+    // The ages that messages state are relative to their arrival, which may be as long ago as the suspension.
+    m_fleet.discardPending();
+    logLine(LogLevel::Warning,
+            "the process did not run for a while; reading the store again",
+            {{.name = "gap_ms", .value = toMilliseconds(gap)}});
+    m_mirror.startConfirmation().restart(now);
+    m_isForwarding = false;
+    m_callerHandler.holdRequests();
+    if (m_quotas) {
+        m_quotas->onResume(now);
+    }
+    if (m_onResume) {
+        m_onResume();
+    }
+    return true;
+}
+
 void EdgeServer::startForwardingWhenReady(Instant now)
 {
     putStateInForce(now);
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -43,6 +43,11 @@
     void onStateChange(const MirrorChanges &changes);
     /** Applies the settings that can change at run time: retries, own-zone advantage and shutdown grace period. */
     void applySettings(const EdgeSettings &changed);
+    /**
+     * Returns true if the process was suspended until just now: the state and whatever had arrived before may be old. Requests
+     * are then held until the state is confirmed.
+     */
+    bool detectSuspension();
     /** Sets a function that is called after a suspension of the process, because the mirrored state may be outdated. */
     void setResumeHandler(std::function<void()> handler);
     /** Reports not ready, finishes requests in progress and calls @p done, at the latest when the grace period ends. */
--- a/src/edge/fleet.cpp
+++ b/src/edge/fleet.cpp
@@ -32,7 +32,9 @@
                {.cluster = m_options.cluster, .self = m_options.self.id, .listen = udpEndpoint(m_options.self.peerAddress)},
                metrics,
                [this](std::string_view bytes) {
-                   m_dispatcher.receive(bytes);
+                   if (!m_receiveFilter || !m_receiveFilter()) {
+                       m_dispatcher.receive(bytes);
+                   }
                })
 {
     setHandlers();
@@ -70,6 +72,16 @@
     }
 }
 
+void Fleet::setReceiveFilter(std::function<bool()> filter)
+{
+    m_receiveFilter = std::move(filter);
+}
+
+void Fleet::discardPending()
+{
+    m_socket.discardPending();
+}
+
 void Fleet::setRouter(Router &router)
 {
     m_router = &router;
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -6,6 +6,7 @@
 #include <filbertmount/peer/peerdispatcher.h>
 #include <filbertmount/routing/router.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,6 +28,12 @@
 
     Fleet(IoLoop &loop, Options options, Metrics &metrics);
 
+    /**
+     * Sets a function that is called before each received message; the message is dropped if it returns true.
+     */
+    void setReceiveFilter(std::function<bool()> filter);
+    /** Discards the messages that have arrived and were not handled yet. */
+    void discardPending();
     /** Passes routing messages and changes of the members to @p router, which must outlive this object. */
     void setRouter(Router &router);
     /** Returns a function that sends a message to an instance. */
@@ -75,6 +82,7 @@
     MembershipTable m_membership;
     PeerDispatcher m_dispatcher;
     PeerSocket m_socket;
+    std::function<bool()> m_receiveFilter;
     Router *m_router = nullptr;
     std::uint64_t m_memberVersion = 0;
     MemberList m_liveMembers;
--- a/src/edge/peersocket.cpp
+++ b/src/edge/peersocket.cpp
@@ -8,6 +8,8 @@
 
 // Largest payload of a UDP datagram over IPv4.
 constexpr std::size_t MaxDatagram = 65'507;
+// More datagrams than a receive buffer holds; bounds the time if they arrive faster than they are discarded.
+constexpr std::size_t MaxDiscarded = 16'384;
 
 } // namespace
 
@@ -89,6 +91,14 @@
     return unlisted != m_unlisted.end() ? &unlisted->second : nullptr;
 }
 
+void PeerSocket::discardPending()
+{
+    error_code error;
+    for (std::size_t count = 0; count < MaxDiscarded && !error; ++count) {
+        m_socket.receive(Asio::buffer(m_buffer), 0, error);
+    }
+}
+
 void PeerSocket::send(PeerOutbox outbox)
 {
     for (PeerMessage &message : outbox) {
--- a/src/edge/peersocket.h
+++ b/src/edge/peersocket.h
@@ -52,6 +52,8 @@
     void rememberSender(const InstanceId &peer);
     /** Whether messages to @p peer are sent, and not dropped for lack of an address. */
     [[nodiscard]] bool canReach(const InstanceId &peer) const;
+    /** Discards the datagrams that have arrived and were not received yet. */
+    void discardPending();
     void send(PeerOutbox outbox);
     void send(const InstanceId &to, Wire::Envelope envelope);
 
--- a/src/edge/singlelisting.h
+++ b/src/edge/singlelisting.h
@@ -47,6 +47,12 @@
         });
     }
 
+    /** Makes no further calls, and ignores the response to one in progress. */
+    void cancel()
+    {
+        m_calls.cancel();
+    }
+
 private:
     void onListed(StoreResult<StatePage> result, bool mayBeStale)
     {
--- a/src/edge/startconfirmation.cpp
+++ b/src/edge/startconfirmation.cpp
@@ -19,6 +19,15 @@
     return "unknown";
 }
 
+void StartConfirmation::restart(Instant now)
+{
+    m_hasListingFailed = false;
+    for (auto &[kind, state] : m_kinds) {
+        state.certainty = std::min(state.certainty, StateCertainty::Instance);
+        state.knownSince = now;
+    }
+}
+
 void StartConfirmation::record(StateKind kind, StateCertainty certainty, Instant now)
 {
     KindState &state = m_kinds[kind];
--- a/src/edge/statefollower.h
+++ b/src/edge/statefollower.h
@@ -72,6 +72,9 @@
 
     void onListed(StoreResult<StatePage> result)
     {
+        if (hasResumed()) {
+            return;
+        }
         if (const auto *error = std::get_if<StoreError>(&result)) {
             onError(*error, "list");
             return;
@@ -107,6 +110,9 @@
 
     void onChanges(StoreResult<StateChanges> result)
     {
+        if (hasResumed()) {
+            return;
+        }
         const auto *error = std::get_if<StoreError>(&result);
         if (error != nullptr && error->problem == StoreProblem::HistoryGone) {
             recordResponse();
@@ -136,6 +142,12 @@
         }
     }
 
+    /** Whether the response is dropped because it may be old; the listing after a suspension has been started then. */
+    [[nodiscard]] bool hasResumed() const
+    {
+        return m_options.hasResumed && m_options.hasResumed();
+    }
+
     void recordResponse()
     {
         if (m_hasFailed) {
--- a/src/edge/stateservice.h
+++ b/src/edge/stateservice.h
@@ -95,6 +95,11 @@
     void rereadStore()
     {
         m_replicator.forgetConfirmations();
+        m_routesListing.cancel();
+        m_upstreamsListing.cancel();
+        if (m_evacuationsListing) {
+            m_evacuationsListing->cancel();
+        }
         m_routesFollower.start();
         m_upstreamsFollower.start();
         if (m_evacuationsFollower) {
--- a/src/edge/storecalls.h
+++ b/src/edge/storecalls.h
@@ -29,6 +29,8 @@
     /** Delay before the first retry; doubles with each failure up to maxRetryDelay. */
     Duration firstRetryDelay = std::chrono::milliseconds(50);
     Duration maxRetryDelay = std::chrono::milliseconds(400);
+    /** Returns true if the process was suspended until just now, so that a response may be old and is read again. */
+    std::function<bool()> hasResumed = {};
 };
 
 /** How a call to the store ended, with its response not parsed yet. */
--- a/tests/edge/edgeserverstatetest.cpp
+++ b/tests/edge/edgeserverstatetest.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace Filbertmount;
@@ -103,6 +104,13 @@
         state.start();
     }
 
+    void runFor(Duration time)
+    {
+        runUntil(loop, [end = ProcessClock::now() + time] {
+            return ProcessClock::now() >= end;
+        });
+    }
+
     bool becomesReady()
     {
         return runUntil(loop, [this] {
@@ -177,3 +185,23 @@
     CHECK(instance.lines("routes in force").empty());
     CHECK_FALSE(instance.server.isReady());
 }
+
+// Instances that had been suspended answered requests as a replaced version says for up to 0.7 s after they woke.
+TEST_CASE("edge server: after a suspension, requests wait until the store has confirmed the state")
+{
+    Instance instance;
+    instance.server.setResumeHandler([&instance] {
+        instance.state.rereadStore();
+    });
+    REQUIRE(instance.becomesReady());
+    instance.runFor(400ms);
+    Tcp::socket client(instance.loop);
+    sendRequest(client);
+    instance.store.currentVersion = 9;
+    // The loop does not run, as while the machine is suspended; the request waits in the socket.
+    std::this_thread::sleep_for(900ms);
+    REQUIRE(runUntil(instance.loop, [&] {
+        return !instance.lines("request answered").empty();
+    }));
+    CHECK(hasField(instance.lines("request answered")[0], "routes_version", 9));
+}
--- a/tests/edge/startconfirmationtest.cpp
+++ b/tests/edge/startconfirmationtest.cpp
@@ -55,3 +55,21 @@
     CHECK(confirmation.certainty(StateKind::Routes) == StateCertainty::Instance);
     CHECK(confirmation.mayUse(StateKind::Routes, Start + StartConfirmation::MaxWait));
 }
+
+TEST_CASE("start confirmation: after a suspension, the state is confirmed again or, if the store is away, used as it is")
+{
+    for (const bool hasListingFailed : {false, true}) {
+        CAPTURE(hasListingFailed);
+        StartConfirmation confirmation;
+        confirmation.recordFailedListing();
+        confirmation.record(StateKind::Routes, StateCertainty::Current, Start);
+        confirmation.restart(Start + 10s);
+        CHECK_FALSE(confirmation.mayUse(StateKind::Routes, Start + 10s));
+        if (hasListingFailed) {
+            confirmation.recordFailedListing();
+        }
+        CHECK(confirmation.mayUse(StateKind::Routes, Start + 11s) == hasListingFailed);
+        confirmation.record(StateKind::Routes, StateCertainty::Current, Start + 11s);
+        CHECK(confirmation.mayUse(StateKind::Routes, Start + 11s));
+    }
+}
