Answer 404 only by a configuration that is current, without accounts too

What callers saw: 404 on a route that had been added, from an instance that did not have the change yet; callers do not retry a 404.

Cause: an unknown route was checked against the age of the configuration only if it has accounts, so sites without them got 404 at once from an outdated instance, while the others got 503 and Retry-After.

A current one answers 404 at once, as before. The new test failed: 404 in place of 503 and 200.

--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -165,16 +165,18 @@
 
 std::shared_ptr<ActiveRequest> CallerHandler::handleUnknownRoute(ServerRequest request, ResponseHandler respond, bool isFinal)
 {
-    const bool hasAccounts = m_routes->routes().requiresKey;
-    if (hasAccounts && !isFinal && m_pendingRequests.hasRoom(request, NoKey)) {
+    const bool isCurrent = m_authenticator.isCurrent(confirmationAge());
+    // A configuration with accounts waits even while it is current: its keys and routes change together.
+    const bool mayWait = !isFinal && (!isCurrent || m_routes->routes().requiresKey);
+    if (mayWait && m_pendingRequests.hasRoom(request, NoKey)) {
         const Duration wait = m_authenticator.waitFor(deadlineOf(request, TimeoutWithoutRoute) - request.arrival);
         const Instant until = request.arrival + wait;
         return m_pendingRequests.hold(std::move(request), std::move(respond), NoKey, until);
     }
-    if (hasAccounts && !m_authenticator.isCurrent(confirmationAge())) {
-        refuseOutdated(request, respond, "no route");
-    } else {
+    if (isCurrent) {
         respondDirectly(request, respond, {.status = NotFound}, "no route");
+    } else {
+        refuseOutdated(request, respond, "no route");
     }
     return nullptr;
 }
--- a/tests/edge/callerauthenticationtest.cpp
+++ b/tests/edge/callerauthenticationtest.cpp
@@ -131,6 +131,42 @@
     CHECK(fixture.metrics.exposition().find("account_requests") == std::string::npos);
 }
 
+// An instance that had missed an added route answered 404, which callers do not retry, on sites without accounts.
+TEST_CASE("caller authentication: without accounts too, an unknown route gets 404 only by a configuration that is current")
+{
+    const struct {
+        const char *name;
+        Duration confirmationAge;
+        bool isRouteAdded;
+        int status;
+    } rows[] = {
+        {"current", 0s, false, 404},
+        {"outdated", 5s, false, 503},
+        {"outdated, and the route is in the next version", 5s, true, 200},
+    };
+    for (const auto &row : rows) {
+        CAPTURE(row.name);
+        AccountsFixture fixture(false);
+        fixture.confirmedAt = ProcessClock::now() - row.confirmationAge;
+        const auto active = fixture.send("/added/1", {});
+        if (row.isRouteAdded) {
+            RouteSet routes{.version = RouteSetVersion(2)};
+            routes.routes.push_back({.name = "added",
+                                     .host = "h",
+                                     .pathPrefix = "/added/",
+                                     .timeout = 4s,
+                                     .targets = {{.service = Shop, .weight = 1}}});
+            fixture.handler.setRoutes(std::make_shared<const RouteIndex>(routes));
+            fixture.handler.retryPendingRequests();
+        }
+        REQUIRE(runUntil(fixture.loop, [&fixture] {
+            return fixture.responses > 0;
+        }));
+        CHECK(fixture.result->status == row.status);
+        CHECK((findHeader(fixture.result->headers, "Retry-After") != nullptr) == (row.status == 503));
+    }
+}
+
 TEST_CASE("caller authentication: responses to requests without a valid key")
 {
     struct Row {
