Never use an old listing by itself, and wait for evacuations after a suspension

A configuration with accounts from a listing that may be old was used after 3 s without a confirmation; before them it was read again until a current one came, so that no removed key is accepted. No old listing is used without a confirmation now, with accounts or without.

After a suspension, the wait for evacuations counted from the start of the process and was over, so requests could reach a zone that had been evacuated meanwhile.

--- a/include/filbertmount/edge/evacuationstart.h
+++ b/include/filbertmount/edge/evacuationstart.h
@@ -7,7 +7,8 @@
 namespace Filbertmount {
 
 /**
- * Decides whether an instance that has just started may forward requests without knowing the evacuations of zones. Sans-I/O.
+ * Decides whether an instance that has just started, or was suspended, may forward requests without knowing the evacuations of
+ * zones. Sans-I/O.
  *
  * It waits for them, because its first requests would reach upstreams of an evacuated zone otherwise, but not for ever: during an
  * outage of the store, or next to instances of an earlier version, no instance may know them.
@@ -26,6 +27,8 @@
     /** Records that routes and upstreams are known; only the first call counts. */
     void recordTargets(Instant now);
     /** @param isKnown evacuations were listed or received from another instance */
+    /** Begins the wait again after a suspension, during which evacuations may have begun. */
+    void restart(Instant now);
     [[nodiscard]] bool mayForward(bool isKnown, Instant now) const;
     /** Whether forwarding at this point starts without known evacuations. */
     [[nodiscard]] bool isWithoutEvacuations(bool isKnown) const;
--- a/include/filbertmount/edge/startconfirmation.h
+++ b/include/filbertmount/edge/startconfirmation.h
@@ -3,8 +3,8 @@
 #include <filbertmount/edge/sharedstate.h>
 #include <filbertmount/types/instant.h>
 
+#include <cstdint>
 #include <map>
-#include <optional>
 #include <string_view>
 
 namespace Filbertmount {
@@ -30,14 +30,14 @@
  *
  * A state is put in force once the store has confirmed it, either to this instance or to another one that has the same state.
  * If the store does not respond to this instance, the state of another one is the newest to be had. A listing that may be old is
- * used by itself only if nothing better can be had for MaxWait.
+ * never used by itself: it may contain keys and routes that were removed since.
  */
 class StartConfirmation
 {
 public:
     /** A state counts as current if the store confirmed it to another instance within this time. */
     static constexpr Duration MaxAge = std::chrono::seconds(1);
-    /** Longest time from the first state of a kind until it is used without a confirmation. */
+    /** Longest time from the first state of a kind until that of another instance is used without a confirmation. */
     static constexpr Duration MaxWait = std::chrono::seconds(3);
 
     /** Forgets all confirmations after a suspension of the process; what is known is then like the state of another instance. */
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -317,6 +317,7 @@
             "the process did not run for a while; reading the store again",
             {{.name = "gap_ms", .value = toMilliseconds(gap)}});
     m_mirror.startConfirmation().restart(now);
+    m_evacuationStart.restart(now);
     m_isForwarding = false;
     m_callerHandler.holdRequests();
     if (m_quotas) {
--- a/src/edge/evacuationstart.cpp
+++ b/src/edge/evacuationstart.cpp
@@ -12,6 +12,13 @@
     m_targetsSince = m_targetsSince.value_or(now);
 }
 
+void EvacuationStart::restart(Instant now)
+{
+    if (m_targetsSince) {
+        m_targetsSince = now;
+    }
+}
+
 bool EvacuationStart::mayForward(bool isKnown, Instant now) const
 {
     return !isWithoutEvacuations(isKnown) || (m_targetsSince && now - *m_targetsSince >= MaxWait);
--- a/src/edge/startconfirmation.cpp
+++ b/src/edge/startconfirmation.cpp
@@ -56,9 +56,8 @@
     }
     switch (state->second.certainty) {
     case StateCertainty::None:
-        return false;
     case StateCertainty::OldListing:
-        return now - state->second.knownSince >= MaxWait;
+        return false;
     case StateCertainty::Instance:
         return m_hasListingFailed || now - state->second.knownSince >= MaxWait;
     case StateCertainty::Current:
--- a/tests/edge/evacuationstarttest.cpp
+++ b/tests/edge/evacuationstarttest.cpp
@@ -39,6 +39,19 @@
     CHECK_FALSE(EvacuationStart(true).mayForward(false, Start + 1h));
 }
 
+// A zone may have been evacuated while the instance was suspended.
+TEST_CASE("evacuation start: after a suspension, an instance waits for the evacuations again")
+{
+    EvacuationStart start(true);
+    start.restart(Start);
+    CHECK_FALSE(start.mayForward(false, Start + 1h));
+    start.recordTargets(Start);
+    start.restart(Start + 1h);
+    CHECK_FALSE(start.mayForward(false, Start + 1h));
+    CHECK(start.mayForward(true, Start + 1h));
+    CHECK(start.mayForward(false, Start + 1h + EvacuationStart::MaxWait));
+}
+
 // 135 instances that start together must not list the evacuations three times each.
 TEST_CASE("first listings: none when the state arrives from another instance, few during an outage")
 {
--- a/tests/edge/startconfirmationtest.cpp
+++ b/tests/edge/startconfirmationtest.cpp
@@ -23,9 +23,8 @@
     } rows[] = {
         {"nothing known", StateCertainty::None, true, 1h, false},
         {"confirmed", StateCertainty::Current, false, 0s, true},
-        {"old listing", StateCertainty::OldListing, false, StartConfirmation::MaxWait - 1ms, false},
-        {"old listing, store away since", StateCertainty::OldListing, true, StartConfirmation::MaxWait - 1ms, false},
-        {"old listing, nothing else to be had", StateCertainty::OldListing, true, StartConfirmation::MaxWait, true},
+        {"old listing", StateCertainty::OldListing, false, 1h, false},
+        {"old listing, store away since", StateCertainty::OldListing, true, 1h, false},
         {"state of another instance", StateCertainty::Instance, false, StartConfirmation::MaxWait - 1ms, false},
         {"state of another instance, store away", StateCertainty::Instance, true, 0s, true},
         {"state of another instance, no confirmation to be had",
