Soak: report requests that are routed by a route set replaced long before

The soak compared the answers of one process with each other, so a process that started with an old route set and kept to it for a while broke nothing. The new check knows when the store acknowledged each route set: 8 s after that (3 s, the longest bound of a deployment, and 5 s while the store is unstable) no request may be routed by the one before, except around an outage of the store or a suspension of the instance.

--- a/scripts/lib/soak/checks.py
+++ b/scripts/lib/soak/checks.py
@@ -14,6 +14,8 @@
 # reach the store.
 EVACUATION_S = 5
 UNSTABLE_STORE_S = 5
+# Time from the store's acknowledgement of a route set until it must be in force, the longest of any deployment.
+CONFIG_APPLY_S = 3
 
 
 @dataclass
@@ -26,6 +28,15 @@
     ended_at: float = math.inf
 
 
+@dataclass
+class Publication:
+    """A route set: the service that it assigns to the path /switch/, when its write began and when the store acknowledged it."""
+
+    service: str
+    started_at: float
+    acknowledged_at: float = math.inf
+
+
 @dataclass
 class Disturbance:
     """
@@ -39,7 +50,7 @@
     ended_at: float = math.inf
 
 
-def find_violations(calls, executions, evacuations=(), disturbances=()):
+def find_violations(calls, executions, evacuations=(), disturbances=(), publications=()):
     """Returns a line for each violation."""
     calls_by_id = {call.request_id: call for call in calls}
     executions_by_id = defaultdict(list)
@@ -52,6 +63,7 @@
         *_wrong_responses(calls, executions_by_id),
         *_misrouted_executions(executions),
         *_older_route_sets(calls),
+        *_outdated_route_sets(calls, publications, disturbances),
         *_evacuated_executions(calls_by_id, executions, evacuations, disturbances),
     ]
 
@@ -111,8 +123,38 @@
                 yield f"older routes again: {later} follows {last}"
 
 
+def _outdated_route_sets(calls, publications, disturbances):
+    """A request must not be routed by a route set that was replaced long before, also not by a process that has just started."""
+    for call in calls:
+        if not call.path.startswith("/switch/") or call.status != 200:
+            continue
+        # The newest one that may have been in force; an earlier one with the same service is not told apart.
+        used = [
+            number
+            for number, publication in enumerate(publications)
+            if publication.service == _service(call) and publication.started_at <= call.answered_at
+        ]
+        if not used or used[-1] + 1 == len(publications):
+            continue
+        age = call.sent_at - publications[used[-1] + 1].acknowledged_at
+        if age > CONFIG_APPLY_S + UNSTABLE_STORE_S and not _has_missed_changes(call, disturbances):
+            yield f"outdated routes: {call} was sent {age:.1f} s after they had been replaced"
+
+
+def _has_missed_changes(call, disturbances):
+    for disturbance in disturbances:
+        has_ended = disturbance.ended_at + CONFIG_APPLY_S + UNSTABLE_STORE_S < call.sent_at
+        if disturbance.subject in ("store", call.instance) and disturbance.started_at <= call.sent_at and not has_ended:
+            return True
+    return False
+
+
+def _service(call):
+    return call.response_body.decode("latin-1").partition("|")[2]
+
+
 def _service_index(call):
-    return SWITCH_SERVICES.index(call.response_body.decode("latin-1").partition("|")[2])
+    return SWITCH_SERVICES.index(_service(call))
 
 
 def _evacuated_executions(calls_by_id, executions, evacuations, disturbances):
--- a/scripts/lib/soak/checkstest.py
+++ b/scripts/lib/soak/checkstest.py
@@ -2,7 +2,7 @@
 import unittest
 
 from .callers import Call
-from .checks import Disturbance, Evacuation, find_violations
+from .checks import Disturbance, Evacuation, Publication, find_violations
 from .upstream import Execution
 
 
@@ -84,7 +84,29 @@
 ]
 
 
+# Name, time of the request, the service that ran it, disturbances, and whether it violates the publications below.
+PUBLICATIONS = [Publication("switch-1", 1, 1), Publication("switch-2", 10, 10), Publication("switch-3", 30, 30)]
+PUBLICATION_CASES = [
+    ("the newest route set", 100, "switch-3", [], False),
+    ("soon after the change", 17, "switch-1", [], False),
+    ("long after the change", 20, "switch-1", [], True),
+    ("a route set that was replaced later", 20, "switch-2", [], False),
+    ("two changes behind", 31, "switch-1", [], True),
+    ("in an outage of the store", 20, "switch-1", [Disturbance("store", 15)], False),
+    ("long after an outage of the store", 29, "switch-1", [Disturbance("store", 15, 20)], True),
+    ("after the suspension of the instance", 20, "switch-1", [Disturbance(0, 12, 15)], False),
+    ("after the suspension of another instance", 20, "switch-1", [Disturbance(1, 12, 15)], True),
+]
+
+
 class ChecksTest(unittest.TestCase):
+    def test_outdated_route_sets(self):
+        for name, time, service, disturbances, is_violation in PUBLICATION_CASES:
+            with self.subTest(name):
+                calls = [switch_call("a", service, time)]
+                violations = find_violations(calls, [switch_execution("a", service)], (), disturbances, PUBLICATIONS)
+                self.assertEqual([line.partition(":")[0] for line in violations], ["outdated routes"] * is_violation)
+
     def test_evacuations(self):
         evacuations = [Evacuation("zone-1", frozenset({"u-1"}), 0, 20)]
         for name, time, upstream, disturbances, is_violation in EVACUATION_CASES:
