Ask for confirmations at once after a later suspension

The waits between requests for digests doubled up to 3.2 s and were kept until the next suspension. They begin anew once the state is confirmed.

--- a/src/edge/statereplicatorpulls.cpp
+++ b/src/edge/statereplicatorpulls.cpp
@@ -34,6 +34,9 @@
 {
     for (auto &[kind, state] : m_kinds) {
         const StateCertainty certainty = m_mirror.startConfirmation().certainty(kind);
+        if (certainty == StateCertainty::Current) {
+            state.digestRequests.reset();
+        }
         if (certainty == StateCertainty::None || certainty == StateCertainty::Current) {
             continue;
         }
