Confirm the state of instances that start together by the listing of one of them

The time of the listing is drawn from 100 to 600 ms, and an instance that has listed sends its digest to all, so that the others need no listing. The new test failed before: the other instance stayed unconfirmed.

--- a/src/edge/singlelisting.h
+++ b/src/edge/singlelisting.h
@@ -39,9 +39,11 @@
     {
     }
 
-    void read(bool mayBeStale)
+    /** @param onSuccess called after the listing was applied; may be empty */
+    void read(bool mayBeStale, std::function<void()> onSuccess = {})
     {
         m_calls.cancel();
+        m_onSuccess = std::move(onSuccess);
         m_listing.read(mayBeStale, [this, mayBeStale](StoreResult<StatePage> result) {
             onListed(std::move(result), mayBeStale);
         });
@@ -72,6 +74,9 @@
             m_kind, std::move(listed.objects), listed.storeRevision, ProcessClock::now(), StateSource::Instance);
         changes.origin = mayBeStale ? StateOrigin::OldListing : StateOrigin::Listing;
         m_onChange(changes);
+        if (const std::function<void()> onSuccess = std::exchange(m_onSuccess, {})) {
+            onSuccess();
+        }
     }
 
     StateKind m_kind;
@@ -79,6 +84,7 @@
     StateListing<Protocol> m_listing;
     StateMirror &m_mirror;
     ChangeHandler m_onChange;
+    std::function<void()> m_onSuccess;
 };
 
 } // namespace Filbertmount
--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -191,12 +191,8 @@
 
 void StateReplicator::onStoreResponse(StateKind kind, std::optional<Revision> before, const MirrorChanges &changes, Instant now)
 {
-    KindState &state = m_kinds.at(kind);
-    state.confirmedAt = now;
-    m_mirror.startConfirmation().record(kind, StateCertainty::Current, now);
-    state.behindSince.reset();
-    state.election.recordConfirmation(m_fleet.self(), now);
-    state.repeatAt = now + DigestRepeatDelay;
+    recordConfirmation(kind, now);
+    m_kinds.at(kind).repeatAt = now + DigestRepeatDelay;
     if (before) {
         sendChanges(kind, *before, changes.of(kind), now);
     } else {
@@ -204,6 +200,21 @@
     }
 }
 
+void StateReplicator::onConfirmed(StateKind kind, Instant now)
+{
+    recordConfirmation(kind, now);
+    sendDigest(kind, now);
+}
+
+void StateReplicator::recordConfirmation(StateKind kind, Instant now)
+{
+    KindState &state = m_kinds.at(kind);
+    state.confirmedAt = now;
+    state.behindSince.reset();
+    state.election.recordConfirmation(m_fleet.self(), now);
+    m_mirror.startConfirmation().record(kind, StateCertainty::Current, now);
+}
+
 std::optional<Instant> StateReplicator::confirmedAt(StateKind kind) const
 {
     const KindState &state = m_kinds.at(kind);
--- a/src/edge/statereplicator.h
+++ b/src/edge/statereplicator.h
@@ -48,6 +48,8 @@
      * @param before the mirror's revision before the response; empty before the first one
      */
     void onStoreResponse(StateKind kind, std::optional<Revision> before, const MirrorChanges &changes, Instant now);
+    /** Records that the store confirmed the state in a single listing, and sends a digest to the other instances. */
+    void onConfirmed(StateKind kind, Instant now);
     /**
      * Returns when the store last confirmed this instance's state of @p kind to any instance; nothing if unknown, or if another
      * instance has announced a state that this one does not have yet.
@@ -131,6 +133,8 @@
     void onPull(const InstanceId &from, const Wire::StatePull &pull);
     void onPush(const InstanceId &from, const Wire::StatePush &push);
     void receivePart(const InstanceId &from, StateKind kind, const Wire::StatePush &push, std::vector<StateChange> changes);
+    /** Records that the store has confirmed the state to this instance. */
+    void recordConfirmation(StateKind kind, Instant now);
     /** Applies the changes of @p push; the revision rises only if no earlier change is missing. */
     void applyDifference(StateKind kind, const Wire::StatePush &push, std::vector<StateChange> received, Instant now);
     /** Records that this instance has received the state of another one, which may be the one that was announced. */
--- a/src/edge/stateservice.h
+++ b/src/edge/stateservice.h
@@ -8,6 +8,8 @@
 
 #include <filbertmount/edge/evacuationstart.h>
 
+#include <absl/random/random.h>
+
 #include <optional>
 #include <string>
 
@@ -78,7 +80,11 @@
         m_routesListing.read(true);
         m_upstreamsListing.read(true);
         const Instant now = ProcessClock::now();
+        absl::BitGen random;
+        const Duration delay(absl::Uniform(random, MinConfirmationDelay.count(), MaxConfirmationDelay.count()));
+        m_routesConfirmation = FirstListings(delay);
         m_routesConfirmation.start(now);
+        m_upstreamsConfirmation = FirstListings(delay);
         m_upstreamsConfirmation.start(now);
         m_evacuationsConfirmation.start(now);
         m_registration.start();
@@ -109,9 +115,12 @@
 
 private:
     static constexpr Duration DecisionInterval = std::chrono::milliseconds(40);
-    /** Instances of a running fleet confirm the state of one that starts in a quarter of this time, without a call to the store.
+    /**
+     * Bounds of the time from the start to the first listing of a state that nobody has confirmed. Drawn at random, so that of
+     * instances that start together only some list. In a running fleet, others confirm the state before.
      */
-    static constexpr Duration ConfirmationDelay = std::chrono::milliseconds(200);
+    static constexpr Duration MinConfirmationDelay = std::chrono::milliseconds(100);
+    static constexpr Duration MaxConfirmationDelay = std::chrono::milliseconds(600);
 
     typename StateFollower<Protocol>::StoreResponseHandler storeResponseHandler()
     {
@@ -141,7 +150,10 @@
     void listIfDue(FirstListings &first, SingleListing<Protocol> &listing, StateKind kind, Instant now)
     {
         if (first.isDue(m_mirror.startConfirmation().certainty(kind) == StateCertainty::Current, now)) {
-            listing.read(false);
+            // The digest confirms the state of the others that have just started, so that few of them list it.
+            listing.read(false, [this, kind] {
+                m_replicator.onConfirmed(kind, ProcessClock::now());
+            });
         }
     }
 
@@ -169,8 +181,8 @@
     /** Both exist only if evacuations are read. */
     std::optional<StateFollower<Protocol>> m_evacuationsFollower;
     std::optional<SingleListing<Protocol>> m_evacuationsListing;
-    FirstListings m_routesConfirmation{ConfirmationDelay};
-    FirstListings m_upstreamsConfirmation{ConfirmationDelay};
+    FirstListings m_routesConfirmation;
+    FirstListings m_upstreamsConfirmation;
     FirstListings m_evacuationsConfirmation;
     InstanceRegistration<Protocol> m_registration;
     RegistrationUpkeep<Protocol> m_upkeep;
--- a/tests/edge/receivefiltertest.cpp
+++ b/tests/edge/receivefiltertest.cpp
@@ -11,11 +11,11 @@
 // Instances that had been suspended took digests that had arrived meanwhile for news of the store, and went on with an old state.
 TEST_CASE("receive filter: messages that arrived during a suspension are dropped, later ones are handled")
 {
-    constexpr const char *Cluster = "filter-test";
-    constexpr const char *Address = "127.0.0.48:17667";
+    constexpr const char *cluster = "filter-test";
+    constexpr const char *address = "127.0.0.48:17667";
     IoLoop loop{1};
     Metrics metrics;
-    Fleet fleet(loop, {.cluster = Cluster, .self = {.id = InstanceId("suspended"), .peerAddress = Address}}, metrics);
+    Fleet fleet(loop, {.cluster = cluster, .self = {.id = InstanceId("suspended"), .peerAddress = address}}, metrics);
     int received = 0;
     fleet.setHandler(Wire::Body::kStateDigest, [&received](const InstanceId & /*from*/, const Wire::Body & /*body*/) {
         ++received;
@@ -29,10 +29,10 @@
         return true;
     });
     PeerSocket sender(loop,
-                      {.cluster = Cluster, .self = InstanceId("sender"), .listen = {Asio::ip::make_address("127.0.0.49"), 17667}},
+                      {.cluster = cluster, .self = InstanceId("sender"), .listen = {Asio::ip::make_address("127.0.0.49"), 17667}},
                       metrics,
                       [](std::string_view /*bytes*/) {});
-    sender.setAddress(InstanceId("suspended"), Address);
+    sender.setAddress(InstanceId("suspended"), address);
     const auto send = [&sender] {
         Wire::Envelope envelope;
         envelope.add_bodies()->mutable_state_digest();
--- a/tests/edge/statereplicatortest.cpp
+++ b/tests/edge/statereplicatortest.cpp
@@ -357,6 +357,30 @@
     }
 }
 
+// 162 instances that started together each listed the state again, because nobody told the others that the store had confirmed
+// it.
+TEST_CASE("state replicator: the listing of one instance confirms the state of the others that have started with it")
+{
+    IoLoop loop{1};
+    Node first{loop, "127.0.0.31", {}};
+    Node second{loop, "127.0.0.32", {std::string("127.0.0.31") + PeerPort}};
+    for (Node *node : {&first, &second}) {
+        node->mirror.applyListing(StateKind::Routes,
+                                  {{.name = "main", .revision = Revision(9), .value = routes(2, 4)}},
+                                  Revision(9),
+                                  ProcessClock::now());
+        node->mirror.startConfirmation().record(StateKind::Routes, StateCertainty::OldListing, ProcessClock::now());
+    }
+    REQUIRE(runUntil(loop, [&] {
+        return first.fleet.memberCount() == 2 && second.fleet.memberCount() == 2;
+    }));
+    CHECK(second.mirror.startConfirmation().certainty(StateKind::Routes) == StateCertainty::OldListing);
+    first.replicator.onConfirmed(StateKind::Routes, ProcessClock::now());
+    CHECK(runUntil(loop, [&] {
+        return second.mirror.startConfirmation().certainty(StateKind::Routes) == StateCertainty::Current;
+    }));
+}
+
 // All instances had started together: one got the old listing of another one and took it for the state of the fleet.
 TEST_CASE("state replicator: an instance with an old listing does not send it to others")
 {
