--- a/scripts/lib/soak/checks.py
+++ b/scripts/lib/soak/checks.py
@@ -128,7 +128,7 @@
     for call in calls:
         if not call.path.startswith("/switch/") or call.status != 200:
             continue
-        # The newest one that may have been in force; an earlier one with the same service is not told apart.
+        # The newest one that may have been in force; an earlier one with the same service cannot be distinguished.
         used = [
             number
             for number, publication in enumerate(publications)
--- a/src/edge/stateservice.h
+++ b/src/edge/stateservice.h
@@ -116,7 +116,7 @@
 private:
     static constexpr Duration DecisionInterval = std::chrono::milliseconds(40);
     /**
-     * Bounds of the time from the start to the first listing of a state that nobody has confirmed. Drawn at random, so that of
+     * Bounds of the time from the start to the first listing of a state without a confirmation. Drawn at random, so that of
      * instances that start together only some list. In a running fleet, others confirm the state before.
      */
     static constexpr Duration MinConfirmationDelay = std::chrono::milliseconds(20);
--- a/tests/edge/edgeserverstatetest.cpp
+++ b/tests/edge/edgeserverstatetest.cpp
@@ -152,7 +152,7 @@
     return line.find(field + ",") != std::string::npos || line.find(field + "}") != std::string::npos;
 }
 
-/** Sends a request that no route matches; the response tells which configuration is in force. */
+/** Sends a request that no route matches; the response shows which configuration is in force. */
 void sendRequest(Tcp::socket &client)
 {
     client.connect(Tcp::endpoint(Asio::ip::make_address(Address), CallersPort));
--- a/tests/edge/receivefiltertest.cpp
+++ b/tests/edge/receivefiltertest.cpp
@@ -8,7 +8,7 @@
 using namespace Filbertmount::TestSupport;
 using namespace std::chrono_literals;
 
-// Instances that had been suspended took digests that had arrived meanwhile for news of the store, and went on with an old state.
+// Instances that had been suspended took digests that had arrived meanwhile for current ones, and went on with an old state.
 TEST_CASE("receive filter: messages that arrived during a suspension are dropped, later ones are handled")
 {
     constexpr const char *cluster = "filter-test";
--- a/tests/edge/statereplicatortest.cpp
+++ b/tests/edge/statereplicatortest.cpp
@@ -357,7 +357,7 @@
     }
 }
 
-// 162 instances that started together each listed the state again, because nobody told the others that the store had confirmed
+// 162 instances that started together each listed the state again, because no digest showed that the store had confirmed
 // it.
 TEST_CASE("state replicator: the listing of one instance confirms the state of the others that have started with it")
 {
--- a/tests/edge/unlistedpeertest.cpp
+++ b/tests/edge/unlistedpeertest.cpp
@@ -81,8 +81,8 @@
 
 } // namespace
 
-// An instance that had just started asked for the newer state that it had heard of. The other one did not know it as a member yet
-// and dropped its answer, so the older state stayed in force.
+// An instance that had just started asked for the newer state that a digest had announced. The other one did not know it as a
+// member yet and dropped its answer, so the older state stayed in force.
 TEST_CASE("unlisted peer: an instance that is not known as a member yet receives the answer to its message")
 {
     IoLoop loop{1};
