--- a/src/edge/stateservice.h
+++ b/src/edge/stateservice.h
@@ -119,8 +119,8 @@
      * Bounds of the time from the start to the first listing of a state without a confirmation. Drawn at random, so that of
      * instances that start together only some list. In a running fleet, others confirm the state before.
      */
-    static constexpr Duration MinConfirmationDelay = std::chrono::milliseconds(20);
-    static constexpr Duration MaxConfirmationDelay = std::chrono::milliseconds(300);
+    static constexpr Duration MinConfirmationDelay = std::chrono::milliseconds(100);
+    static constexpr Duration MaxConfirmationDelay = std::chrono::milliseconds(600);
 
     typename StateFollower<Protocol>::StoreResponseHandler storeResponseHandler()
     {
