--- a/tests/edge/edgeserverstatetest.cpp
+++ b/tests/edge/edgeserverstatetest.cpp
@@ -161,7 +161,7 @@
 
 } // namespace
 
-// After a start, requests were answered as a version of seconds ago says, until the digest of a reader arrived.
+// After a start, requests were answered by a version of seconds ago until the digest of a reader arrived.
 TEST_CASE("edge server: a listing that may be old is not in force after the start")
 {
     Instance instance;
@@ -186,7 +186,7 @@
     CHECK_FALSE(instance.server.isReady());
 }
 
-// Instances that had been suspended answered requests as a replaced version says for up to 0.7 s after they woke.
+// Instances that had been suspended answered requests by a replaced version for up to 0.7 s after they woke.
 TEST_CASE("edge server: after a suspension, requests wait until the store has confirmed the state")
 {
     Instance instance;
--- a/tests/edge/startconfirmationtest.cpp
+++ b/tests/edge/startconfirmationtest.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-// An instance that had just started put a listing of seconds ago in force and answered requests as a replaced version says.
+// An instance that had just started put a listing of seconds ago in force and answered requests by a replaced version.
 TEST_CASE("start confirmation: a state of unknown age is not in force while a current one may be had")
 {
     const struct {
