Test that a received state is confirmed at once when it was announced

The check fails when the announcement is left out of the decision: the state is then of certainty 'instance' when it arrives.

--- a/tests/edge/statereplicatortest.cpp
+++ b/tests/edge/statereplicatortest.cpp
@@ -345,15 +345,21 @@
             Revision(row.listedRevision),
             now);
         Instant next = now + 100ms;
+        std::optional<StateCertainty> onArrival;
         CHECK(runUntil(loop, [&] {
             if (ProcessClock::now() >= next) {
                 // The reader's watch ends without changes.
                 next += 100ms;
                 reader.applyStoreResponse(routes(3, 4), 12);
             }
+            if (starting.has(3) && !onArrival) {
+                onArrival = confirmation.certainty(StateKind::Routes);
+            }
             CHECK((starting.has(3) || confirmation.certainty(StateKind::Routes) != StateCertainty::Current));
             return starting.has(3) && confirmation.certainty(StateKind::Routes) == StateCertainty::Current;
         }));
+        // A state that was announced before needs no further digest when it arrives.
+        CHECK((row.listedVersion == 3 || onArrival == StateCertainty::Current));
     }
 }
 
