--- a/include/filbertmount/edge/evacuationstart.h
+++ b/include/filbertmount/edge/evacuationstart.h
@@ -26,9 +26,9 @@
 
     /** Records that routes and upstreams are known; only the first call counts. */
     void recordTargets(Instant now);
-    /** @param isKnown evacuations were listed or received from another instance */
     /** Begins the wait again after a suspension, during which evacuations may have begun. */
     void restart(Instant now);
+    /** @param isKnown evacuations were listed or received from another instance */
     [[nodiscard]] bool mayForward(bool isKnown, Instant now) const;
     /** Whether forwarding at this point starts without known evacuations. */
     [[nodiscard]] bool isWithoutEvacuations(bool isKnown) const;
--- a/tests/edge/statereplicatortest.cpp
+++ b/tests/edge/statereplicatortest.cpp
@@ -409,6 +409,50 @@
     }));
 }
 
+// The waits between the requests after one suspension grew to 3.2 s and held for the next one too.
+TEST_CASE("state replicator: an instance asks for confirmations without delay after a later suspension")
+{
+    IoLoop loop{1};
+    Node suspended{loop, "127.0.0.31", {}};
+    Metrics metrics;
+    Fleet other(loop,
+                {.cluster = "test",
+                 .self = {.id = InstanceId("other"), .peerAddress = std::string("127.0.0.32") + PeerPort},
+                 .seeds = {suspended.self.peerAddress}},
+                metrics);
+    int requests = 0;
+    other.setHandler(Wire::Body::kStatePull, [&requests](const InstanceId & /*from*/, const Wire::Body &body) {
+        requests += body.state_pull().digest_only() ? 1 : 0;
+    });
+    const PeriodicTask tickTask(loop, TickInterval, [&other] {
+        other.tick(ProcessClock::now());
+    });
+    REQUIRE(runUntil(loop, [&] {
+        return suspended.fleet.memberCount() == 2;
+    }));
+    const Instant now = ProcessClock::now();
+    StartConfirmation &confirmation = suspended.mirror.startConfirmation();
+    suspended.mirror.applyListing(
+        StateKind::Routes, {{.name = "main", .revision = Revision(9), .value = routes(2, 4)}}, Revision(9), now);
+    confirmation.record(StateKind::Routes, StateCertainty::Instance, now);
+    // Each of these requests doubles the wait.
+    for (Duration elapsed = 5s; elapsed < 60s; elapsed += 5s) {
+        suspended.replicator.tick(now + elapsed);
+    }
+    confirmation.record(StateKind::Routes, StateCertainty::Current, now);
+    suspended.replicator.tick(now);
+    // The requests sent so far arrive.
+    runUntil(loop, [end = ProcessClock::now() + 300ms] {
+        return ProcessClock::now() >= end;
+    });
+    REQUIRE(requests > 0);
+    const int before = requests;
+    confirmation.restart(ProcessClock::now());
+    CHECK(runUntil(loop, [&] {
+        return requests > before;
+    }));
+}
+
 // A reader that sent 1,800 routes to 143 others saturated its link for seconds: two instances received them too late.
 TEST_CASE("state replicator: for many routes, only the digest is sent, and the other instance reads the store")
 {
