--- a/src/edge/statefollower.h
+++ b/src/edge/statefollower.h
@@ -83,6 +83,9 @@
         auto &listed = std::get<StatePage>(result);
         reportUnidentified(listed.unidentified);
         const std::optional<Revision> before = m_mirror.revision(m_kind);
+        if (before && listed.storeRevision < *before) {
+            logIgnoredListing(listed.storeRevision, *before);
+        }
         MirrorChanges changes =
             m_mirror.applyListing(m_kind, std::move(listed.objects), listed.storeRevision, ProcessClock::now());
         changes.origin = StateOrigin::Listing;
@@ -170,6 +173,15 @@
         m_unidentified = count;
     }
 
+    void logIgnoredListing(Revision listed, Revision known)
+    {
+        logLine(LogLevel::Warning,
+                "a listing is ignored because it is older than the known state",
+                {{.name = "kind", .value = std::string(stateKindName(m_kind))},
+                 {.name = "revision", .value = static_cast<std::int64_t>(listed.value())},
+                 {.name = "known_revision", .value = static_cast<std::int64_t>(known.value())}});
+    }
+
     void onError(const StoreError &error, const std::string &operation)
     {
         // A store that refuses only this optional kind is not away; upstreams must not be kept because of it.
