Make the era of the store part of each revision, and pace the calls after a 410

Seen: after a return of the store from an older copy, no instance used a new configuration or upstream until the revisions had passed those of before (5 and 13 s for copies 8 and 15 s old), and the readers called it in a loop: 224,088 ignored listings in 5 s with three instances.

Cause: a revision was a number without the history that it belongs to, so everything that the returned store said was older than what was known. 410 was the only answer that was not followed by a pause.

Change: Revision has the era that Store-Era states and compares it first. It is read from every response and travels in digests, pushes, pulls and objects; senders that leave it out count for the era in which the receiver started. A watch that is answered in a later era, and a listing with pages of two eras, are followed by a listing; a reader that notices the rise lists at once. The version of the routes and the accounts of a version do not go back, upstreams and evacuations that the copy lacks hold for 2.1 s, instances whose registration is lost register again. 410 and failures are followed by random pauses of up to 50 ms, doubling up to 400 ms. Log line, gauge and counter.

--- a/apps/filbertmount-edge/main.cpp
+++ b/apps/filbertmount-edge/main.cpp
@@ -125,6 +125,9 @@
     server.setResumeHandler([&state] {
         state.rereadStore();
     });
+    server.setStoreReturnHandler([&state] {
+        state.onStoreReturn();
+    });
     SettingsReload reload(loop, arguments.settingsFile, [&server](const EdgeSettings &changed) {
         configureLog(changed);
         server.applySettings(changed);
--- a/include/filbertmount/edge/evacuationtable.h
+++ b/include/filbertmount/edge/evacuationtable.h
@@ -3,6 +3,7 @@
 #include <filbertmount/edge/sharedstate.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
     /** Records that the entry for @p zone was deleted at @p revision; returns whether an evacuation ends. */
     bool end(const std::string &zone, Revision revision);
 
+    /** Revision of the last report on @p zone; empty if there is none. */
+    [[nodiscard]] std::optional<Revision> revision(const std::string &zone) const;
     /** Names of the zones that are evacuated, sorted. */
     [[nodiscard]] std::vector<std::string> zones() const;
     [[nodiscard]] bool contains(const AvailabilityZone &zone) const;
--- a/include/filbertmount/edge/sharedstate.h
+++ b/include/filbertmount/edge/sharedstate.h
@@ -165,6 +165,8 @@
                                  Revision revision,
                                  Duration wait,
                                  int status,
+                                 const Headers &headers,
+                                 StoreEra era,
                                  const InstanceRecord &instance)
 {
     {
@@ -180,10 +182,13 @@
         protocol.deleteInstanceRequest(text, revision)
         } -> std::same_as<StoreRequest>;
     {
-        protocol.parsePage(kind, status, text)
+        protocol.era(headers)
+        } -> std::same_as<std::optional<StoreEra>>;
+    {
+        protocol.parsePage(kind, status, text, era)
         } -> std::same_as<StoreResult<StatePage>>;
     {
-        protocol.parseChanges(kind, status, text)
+        protocol.parseChanges(kind, status, text, era)
         } -> std::same_as<StoreResult<StateChanges>>;
     {
         protocol.parseWriteResponse(status, text)
--- a/include/filbertmount/edge/statemirror.h
+++ b/include/filbertmount/edge/statemirror.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <filbertmount/edge/evacuationtable.h>
+#include <filbertmount/edge/knownera.h>
 #include <filbertmount/edge/sharedstate.h>
 #include <filbertmount/edge/startconfirmation.h>
 #include <filbertmount/edge/storecontact.h>
@@ -16,13 +17,18 @@
 
 namespace Filbertmount {
 
-/** Options for handling an outage of the store. */
+/** Options for handling an outage of the store or its return from an older copy. */
 struct StateMirrorOptions {
     /**
      * Upstream entries expire during an outage of the store, because upstreams cannot renew them. Removed entries are kept
      * for this time after the outage, within which live upstreams renew theirs.
      */
     Duration expiredEntryGrace = std::chrono::milliseconds(2100);
+    /**
+     * Entries that an older copy lacks are kept for this time after its first listing, within which upstreams and operators write
+     * them again.
+     */
+    Duration lostEntryGrace = std::chrono::milliseconds(2100);
     StoreContactOptions contact;
 };
 
@@ -100,6 +106,10 @@
  * than the mirror is ignored, and a route set replaces only one with a lower version, except for accounts that the store changed
  * under the same version.
  *
+ * When the store returns from an older copy, its listing is newer than the mirror although it may lack what was written since the
+ * copy. The version of the routes never goes back then, nor do the accounts of a version that the copy has too. Upstreams and
+ * evacuations that the copy lacks are kept for a grace time.
+ *
  * Upstreams whose entry may have expired during an outage stay in use for a grace time, but the mirror no longer counts them
  * among the objects of the store: they are not part of the hash, so mirrors at the same revision agree. A mirror that had a
  * state before never adds such an upstream from a message of another instance, so a wrong suspicion of an outage cannot bring a
@@ -133,6 +143,9 @@
      * version replaces those in force, also when it comes from another instance.
      */
     void recordContradiction();
+    /** The era of the store; a higher one shows that the store has returned from an older copy. */
+    [[nodiscard]] KnownEra &knownEra();
+    [[nodiscard]] const KnownEra &knownEra() const;
     /** Records whether the store responded to a call, to detect outages. */
     void recordStoreCall(bool hasResponded, Instant now);
     /** What is known about the reachability of the store; decides whether a deletion may be an expiry. */
@@ -141,7 +154,10 @@
     /** What is known about the age of the state since the start of the process. */
     [[nodiscard]] StartConfirmation &startConfirmation();
     [[nodiscard]] const StartConfirmation &startConfirmation() const;
-    /** Removes kept upstreams whose grace time is over, or whose entry was deleted while another instance had contact. */
+    /**
+     * Removes kept upstreams and evacuations whose grace time is over, and upstreams whose entry was deleted while another
+     * instance had contact.
+     */
     MirrorChanges tick(Instant now);
 
     /** Null before the first valid route set. */
@@ -178,6 +194,8 @@
         /** When this instance learned of the deletion. */
         Instant learnedAt;
         StateSource source = StateSource::Store;
+        /** The store may have lost the entry by its return from an older copy, whether there was contact or not. */
+        bool mayBeLost = false;
     };
     struct UpstreamEntry {
         UpstreamRecord record;
@@ -196,6 +214,8 @@
         StateSource source = StateSource::Store;
         /** Of a report of another instance that suspects an outage. */
         std::optional<PossibleExpiry> expiry;
+        /** The object is absent from a listing; nothing reports that it was deleted. */
+        bool isAbsence = false;
     };
 
     void apply(StateKind kind, StateObject object, StateSource source, MirrorChanges &changes);
@@ -212,6 +232,9 @@
     void applyUpstream(StateObject object, MirrorChanges &changes);
     void remove(StateKind kind, const Deletion &deletion, Instant now, MirrorChanges &changes);
     void removeUpstream(const Deletion &deletion, Instant now, MirrorChanges &changes);
+    void removeEvacuation(const Deletion &deletion, Instant now, MirrorChanges &changes);
+    /** Whether @p deletion only shows that a copy of the store lacks an entry of @p known, written before the store's return. */
+    [[nodiscard]] static bool mayBeLost(const Deletion &deletion, Revision known);
     /** Returns why @p entry is kept after @p deletion; empty if it is removed at once. */
     [[nodiscard]] std::optional<Expiry> expiryOf(const UpstreamEntry &entry, const Deletion &deletion, Instant now) const;
     /** Adds upstreams that another instance keeps. */
@@ -239,9 +262,12 @@
     std::optional<Revision> m_removalsSince;
     std::map<std::string, StateObject> m_instances;
     EvacuationTable m_evacuations;
+    /** Evacuations that the store may have lost, with the end of their grace time. */
+    std::map<std::string, Instant> m_lostEvacuations;
     /** Revisions of the malformed objects that were rejected most recently, by name. */
     std::map<std::string, Revision> m_rejected;
     std::map<StateKind, Revision> m_revisions;
+    KnownEra m_knownEra;
     StoreContact m_contact;
     StartConfirmation m_startConfirmation;
 };
--- a/include/filbertmount/telemetry/metrics.h
+++ b/include/filbertmount/telemetry/metrics.h
@@ -32,6 +32,9 @@
 inline constexpr MetricInfo PeerDropped{"filbertmount_peer_dropped_total", "Peer messages dropped, by reason"};
 inline constexpr MetricInfo StoreCalls{"filbertmount_store_calls_total",
                                        "Calls of the platform's store, by operation and outcome"};
+inline constexpr MetricInfo StoreEra{"filbertmount_store_era", "Era of the platform's store; 0 if it states none"};
+inline constexpr MetricInfo StoreReturns{"filbertmount_store_returns_total",
+                                         "Returns of the platform's store from an older copy"};
 inline constexpr MetricInfo RejectedObjects{"filbertmount_store_objects_rejected_total",
                                             "Revisions of objects of the store that could not be used"};
 inline constexpr MetricInfo Claims{"filbertmount_claims_total", "Idempotency key claims, by service and decision"};
--- a/include/filbertmount/types/ids.h
+++ b/include/filbertmount/types/ids.h
@@ -95,11 +95,56 @@
 using AvailabilityZone = StringId<struct AvailabilityZoneTag>;
 using Region = StringId<struct RegionTag>;
 
-/** The version that the platform's store assigned to an object; it increases with each write of the key. */
-using Revision = NumberId<struct RevisionTag>;
+/** Counts how often the platform's store has returned from an older copy of itself; 0 if it does not state that. */
+using StoreEra = NumberId<struct StoreEraTag>;
 /** Increases each time a member refutes a suspicion or an upstream is replaced under the same id. */
 using Incarnation = NumberId<struct IncarnationTag>;
 /** Unique within one process run of an entry instance. */
 using RequestId = NumberId<struct RequestIdTag>;
 
+/**
+ * A position in the history of the platform's store: the version that it assigned to an object, or that of its whole state. It
+ * increases with each write.
+ *
+ * When the store returns from an older copy, its numbers go back and are given out again, and its era rises. A position of a
+ * later era is therefore later, whatever its number.
+ */
+class Revision
+{
+public:
+    constexpr Revision() = default;
+    constexpr explicit Revision(std::uint64_t value, StoreEra era = {})
+        : m_era(era)
+        , m_value(value)
+    {
+    }
+
+    /** The number that the store gave out in era(). */
+    [[nodiscard]] constexpr std::uint64_t value() const
+    {
+        return m_value;
+    }
+    [[nodiscard]] constexpr StoreEra era() const
+    {
+        return m_era;
+    }
+
+    constexpr auto operator<=>(const Revision &) const = default;
+
+    template<class H>
+    friend H AbslHashValue(H state, const Revision &revision) // NOLINT(readability-identifier-naming): name required by Abseil
+    {
+        return H::combine(std::move(state), revision.m_era, revision.m_value);
+    }
+    friend std::ostream &operator<<(std::ostream &stream, const Revision &revision)
+    {
+        return stream << revision.m_value << " of era " << revision.m_era;
+    }
+
+private:
+    // First, because it decides the order.
+    StoreEra m_era;
+    std::uint64_t m_value = 0;
+};
+
 } // namespace Filbertmount
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -95,6 +95,11 @@
     return static_cast<int>(settings.processors * ProbesPerCoreSecond);
 }
 
+std::uint64_t revisionNumber(const StateMirror &mirror, StateKind kind)
+{
+    return mirror.revision(kind).value_or(Revision()).value();
+}
+
 std::size_t sessionLimit(const EdgeSettings &settings)
 {
     return static_cast<std::size_t>(std::max(MinCallerSessions, settings.descriptors - ReservedDescriptors));
@@ -252,6 +257,11 @@
     m_onResume = std::move(handler);
 }
 
+void EdgeServer::setStoreReturnHandler(std::function<void()> handler)
+{
+    m_onStoreReturn = std::move(handler);
+}
+
 bool EdgeServer::isReady() const
 {
     return !m_onShutDownDone && hasState(ProcessClock::now());
@@ -276,6 +286,7 @@
     detectSuspension();
     m_lastTick = now;
     m_fleet.tick(now);
+    followStoreEra();
     followMembers(now);
     m_router.tick(now);
     if (m_quotas) {
@@ -303,6 +314,28 @@
     }
 }
 
+void EdgeServer::followStoreEra()
+{
+    const KnownEra &known = m_mirror.knownEra();
+    if (m_storeEra != known.latest()) {
+        m_storeEra = known.latest();
+        m_metrics.gauge(MetricNames::StoreEra).Set(static_cast<double>(m_storeEra.value()));
+    }
+    if (known.returns() == m_storeReturns) {
+        return;
+    }
+    m_metrics.counter(MetricNames::StoreReturns, {}).Increment(static_cast<double>(known.returns() - m_storeReturns));
+    m_storeReturns = known.returns();
+    logLine(LogLevel::Warning,
+            "the store has returned from an older copy; reading it again",
+            {{.name = "era", .value = static_cast<std::int64_t>(known.latest().value())},
+             {.name = "routes_revision", .value = static_cast<std::int64_t>(revisionNumber(m_mirror, StateKind::Routes))},
+             {.name = "upstreams_revision", .value = static_cast<std::int64_t>(revisionNumber(m_mirror, StateKind::Upstreams))}});
+    if (m_onStoreReturn) {
+        m_onStoreReturn();
+    }
+}
+
 bool EdgeServer::detectSuspension()
 {
     const Instant now = ProcessClock::now();
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -50,6 +50,8 @@
     bool detectSuspension();
     /** Sets a function that is called after a suspension of the process, because the mirrored state may be outdated. */
     void setResumeHandler(std::function<void()> handler);
+    /** Sets the function that is called after the store has returned from an older copy. */
+    void setStoreReturnHandler(std::function<void()> handler);
     /** Reports not ready, finishes requests in progress and calls @p done, at the latest when the grace period ends. */
     void shutDown(std::function<void()> done);
     /** Routes, upstreams and, if they are enabled, evacuations are in force (see EvacuationStart) and no shutdown is in progress.
@@ -58,6 +60,8 @@
 
 private:
     void tick();
+    /** Reports a return of the store from an older copy. */
+    void followStoreEra();
     /** Starts forwarding once the state is known and this instance has joined others, or JoinTimeout has passed. */
     void startForwardingWhenReady(Instant now);
     [[nodiscard]] bool hasState(Instant now) const;
@@ -116,6 +120,11 @@
     PeriodicTask m_tickTask;
     std::vector<ServiceAccess> m_services;
     std::function<void()> m_onResume;
+    std::function<void()> m_onStoreReturn;
+    /** Era of the store that the metrics show. */
+    StoreEra m_storeEra;
+    /** Returns of the store that have been reported. */
+    std::uint64_t m_storeReturns = 0;
     /** Set once a shutdown has started. */
     std::function<void()> m_onShutDownDone;
     Instant m_shutdownStartedAt{};
--- a/src/edge/evacuationtable.cpp
+++ b/src/edge/evacuationtable.cpp
@@ -49,6 +49,12 @@
     --m_ends;
 }
 
+std::optional<Revision> EvacuationTable::revision(const std::string &zone) const
+{
+    const auto known = m_entries.find(zone);
+    return known == m_entries.end() ? std::nullopt : std::optional(known->second.revision);
+}
+
 std::vector<std::string> EvacuationTable::zones() const
 {
     std::vector<std::string> zones;
--- a/src/edge/instanceregistration.h
+++ b/src/edge/instanceregistration.h
@@ -2,10 +2,12 @@
 
 #include "edge/statelisting.h"
 
+#include <filbertmount/edge/retrypause.h>
 #include <filbertmount/edge/statemirror.h>
 #include <filbertmount/telemetry/log.h>
 
-#include <algorithm>
+#include <absl/random/random.h>
+
 #include <functional>
 #include <optional>
 #include <string>
@@ -24,8 +26,8 @@
  *
  * Instances normally find each other through the seeds in their settings. The list is a fallback for when all seeds are gone,
  * so it may be stale and is read some time after the start. It also states how many instances there are when most of them cannot
- * be reached. An instance whose entry from an earlier run exists creates none. One that shuts down adds a departure, which its
- * next process removes.
+ * be reached. An instance whose entry from an earlier run exists creates none; it creates one again if the store has lost it. One
+ * that shuts down adds a departure, which its next process removes.
  */
 template<StoreProtocol Protocol>
 class InstanceRegistration
@@ -41,7 +43,7 @@
                          StateMirror &mirror,
                          Metrics &metrics,
                          ChangeHandler onChange)
-        : m_calls(loop, options.store, metrics, StateKind::Instances)
+        : m_calls(loop, options.store, eraReader(protocol, mirror), metrics, StateKind::Instances)
         , m_protocol(std::move(protocol))
         , m_listing(m_calls, m_protocol, {.kind = StateKind::Instances, .callTimeout = options.callTimeout})
         , m_name(std::move(name))
@@ -50,7 +52,8 @@
         , m_mirror(mirror)
         , m_onChange(std::move(onChange))
         , m_timer(loop)
-        , m_retryDelay(m_options.firstRetryDelay)
+        , m_listingPause({.first = m_options.firstRetryDelay, .max = MaxRetryDelay, .seed = randomSeed()})
+        , m_departurePause({.first = m_options.firstRetryDelay, .max = m_options.maxRetryDelay, .seed = randomSeed()})
     {
     }
 
@@ -59,12 +62,25 @@
         listLater(FirstListingDelay);
     }
 
+    /** Lists again after a random time, because the store may have lost the entry of this instance. */
+    void onStoreReturn()
+    {
+        if (m_isDeparting) {
+            return;
+        }
+        m_calls.cancel();
+        m_isRegistered = false;
+        m_listings = 0;
+        absl::BitGen random;
+        listLater(Duration(absl::Uniform(random, FirstListingDelay.count(), SecondListingDelay.count())));
+    }
+
     /** Adds the departure of this instance, which shuts down, and makes no further calls. */
     void depart()
     {
+        m_isDeparting = true;
         m_timer.cancel();
         m_calls.cancel();
-        m_retryDelay = m_options.firstRetryDelay;
         createDeparture();
     }
 
@@ -119,10 +135,9 @@
                       logLine(LogLevel::Info, "the store lists this instance as departed");
                       return;
                   }
-                  m_timer.start(m_retryDelay, [this] {
+                  m_timer.start(m_departurePause.next(), [this] {
                       createDeparture();
                   });
-                  m_retryDelay = std::min<Duration>(2 * m_retryDelay, m_options.maxRetryDelay);
               });
     }
 
@@ -143,7 +158,7 @@
     void write(const StoreRequest &request, const std::string &operation, std::function<void(std::optional<StoreProblem>)> onDone)
     {
         m_calls.call(request, operation, m_options.callTimeout, [this, onDone = std::move(onDone)](const CallResult &result) {
-            const auto written = result.parse([this](int status, const std::string &body) {
+            const auto written = result.parse([this](int status, const std::string &body, StoreEra /*era*/) {
                 return m_protocol.parseWriteResponse(status, body);
             });
             const auto *error = std::get_if<StoreError>(&written);
@@ -153,8 +168,7 @@
 
     void retryLater()
     {
-        listLater(m_retryDelay);
-        m_retryDelay = std::min<Duration>(2 * m_retryDelay, MaxRetryDelay);
+        listLater(m_listingPause.next());
     }
 
     void listLater(Duration delay)
@@ -164,6 +178,12 @@
         });
     }
 
+    static std::uint64_t randomSeed()
+    {
+        absl::BitGen random;
+        return absl::Uniform<std::uint64_t>(random);
+    }
+
     /** Live seeds respond to a joining instance within this time. */
     static constexpr Duration FirstListingDelay = std::chrono::milliseconds(600);
     /** After this time, even a stale listing contains what the instances wrote at the start and at the shutdown before. */
@@ -182,8 +202,10 @@
     StateMirror &m_mirror;
     ChangeHandler m_onChange;
     OneShotTimer m_timer;
-    Duration m_retryDelay;
+    RetryPause m_listingPause;
+    RetryPause m_departurePause;
     bool m_isRegistered = false;
+    bool m_isDeparting = false;
     int m_listings = 0;
 };
 
--- a/src/edge/registrationupkeep.h
+++ b/src/edge/registrationupkeep.h
@@ -40,7 +40,7 @@
                        Dependencies dependencies,
                        std::function<bool()> needsList,
                        ChangeHandler onChange)
-        : m_calls(loop, options.store, dependencies.metrics, StateKind::Instances)
+        : m_calls(loop, options.store, eraReader(protocol, dependencies.mirror), dependencies.metrics, StateKind::Instances)
         , m_protocol(std::move(protocol))
         , m_listing(m_calls, m_protocol, {.kind = StateKind::Instances, .callTimeout = options.callTimeout})
         , m_callTimeout(options.callTimeout)
@@ -151,7 +151,7 @@
         m_isCalling = true;
         m_calls.call(request, operation, m_callTimeout, [this](const CallResult &result) {
             m_isCalling = false;
-            const auto written = result.parse([this](int status, const std::string &body) {
+            const auto written = result.parse([this](int status, const std::string &body, StoreEra /*era*/) {
                 return m_protocol.parseWriteResponse(status, body);
             });
             if (const auto *error = std::get_if<StoreError>(&written)) {
--- a/src/edge/singlelisting.h
+++ b/src/edge/singlelisting.h
@@ -32,7 +32,7 @@
                   Metrics &metrics,
                   ChangeHandler onChange)
         : m_kind(kind)
-        , m_calls(loop, options.store, metrics, kind)
+        , m_calls(loop, options.store, eraReader(protocol, mirror), metrics, kind)
         , m_listing(m_calls, std::move(protocol), {.kind = kind, .callTimeout = options.callTimeout})
         , m_mirror(mirror)
         , m_onChange(std::move(onChange))
--- a/src/edge/statefollower.h
+++ b/src/edge/statefollower.h
@@ -2,9 +2,12 @@
 
 #include "edge/statelisting.h"
 
+#include <filbertmount/edge/retrypause.h>
 #include <filbertmount/edge/statemirror.h>
 #include <filbertmount/telemetry/log.h>
 
+#include <absl/random/random.h>
+
 #include <functional>
 #include <string>
 #include <utility>
@@ -13,7 +16,7 @@
 
 /**
  * Keeps one kind of the store's objects up to date in the mirror: lists them, then watches for changes. Lists again after
- * every failed call and when the store has compacted the history. Runs on the IoLoop.
+ * every failed call, when the store has compacted the history and when it has returned from an older copy. Runs on the IoLoop.
  */
 template<StoreProtocol Protocol>
 class StateFollower
@@ -32,12 +35,13 @@
         : m_protocol(std::move(protocol))
         , m_kind(kind)
         , m_options(std::move(options))
-        , m_calls(loop, m_options.store, metrics, kind)
+        , m_calls(loop, m_options.store, eraReader(m_protocol, mirror), metrics, kind)
         , m_listing(m_calls, m_protocol, {.kind = kind, .callTimeout = m_options.callTimeout})
         , m_mirror(mirror)
         , m_onResponse(std::move(onResponse))
         , m_timer(loop)
-        , m_retryDelay(m_options.firstRetryDelay)
+        , m_retryPause(pauseOptions())
+        , m_historyPause(pauseOptions())
     {
     }
 
@@ -49,10 +53,19 @@
         list();
     }
 
+    /** Lists again if a watch from a position before the store's return is in progress; everything else ends in a listing. */
+    void onStoreReturn()
+    {
+        if (m_isRunning && m_isWatching) {
+            start();
+        }
+    }
+
     /** Cancels a call in progress and makes no further calls. */
     void stop()
     {
         m_isRunning = false;
+        m_isWatching = false;
         m_calls.cancel();
         m_timer.cancel();
     }
@@ -101,17 +114,19 @@
             list();
             return;
         }
+        m_isWatching = true;
         m_calls.call(m_protocol.watchRequest(m_kind, *from, m_options.watchWait - waited),
                      "watch",
                      m_options.watchWait + m_options.callTimeout,
-                     [this](const CallResult &result) {
-                         onChanges(result.parse([this](int status, const std::string &body) {
-                             return m_protocol.parseChanges(m_kind, status, body);
+                     [this, from = *from](const CallResult &result) {
+                         m_isWatching = false;
+                         onChanges(from, result.parse([this](int status, const std::string &body, StoreEra era) {
+                             return m_protocol.parseChanges(m_kind, status, body, era);
                          }));
                      });
     }
 
-    void onChanges(StoreResult<StateChanges> result)
+    void onChanges(Revision from, StoreResult<StateChanges> result)
     {
         if (hasResumed()) {
             return;
@@ -122,7 +137,7 @@
             logLine(LogLevel::Info,
                     "the store's history is gone; listing again",
                     {{.name = "kind", .value = std::string(stateKindName(m_kind))}});
-            list();
+            listAfter(m_historyPause.next());
             return;
         }
         if (error != nullptr) {
@@ -130,8 +145,14 @@
             return;
         }
         recordResponse();
-        const std::optional<Revision> before = m_mirror.revision(m_kind);
         const auto &received = std::get<StateChanges>(result);
+        if (received.storeRevision.era() != from.era()) {
+            // The changes are those after a number that was given out again; the ones before it are missing.
+            list();
+            return;
+        }
+        m_historyPause.reset();
+        const std::optional<Revision> before = m_mirror.revision(m_kind);
         reportUnidentified(received.unidentified);
         MirrorChanges changes = m_mirror.applyChanges(m_kind, received, ProcessClock::now());
         changes.origin = StateOrigin::Watch;
@@ -157,7 +178,7 @@
             logLine(LogLevel::Info, "the store answers again", {{.name = "kind", .value = std::string(stateKindName(m_kind))}});
         }
         m_hasFailed = false;
-        m_retryDelay = m_options.firstRetryDelay;
+        m_retryPause.reset();
         m_mirror.recordStoreCall(true, ProcessClock::now());
     }
 
@@ -200,10 +221,20 @@
         m_hasFailed = true;
         // An interrupted watch may have missed changes, and a new one from the same revision may keep waiting although the
         // history that it needs is gone. Only a listing returns the current state.
-        runAfter(m_retryDelay, [this] {
+        listAfter(m_retryPause.next());
+    }
+
+    void listAfter(Duration pause)
+    {
+        runAfter(pause, [this] {
             list();
         });
-        m_retryDelay = std::min(m_retryDelay * 2, m_options.maxRetryDelay);
+    }
+
+    [[nodiscard]] RetryPause::Options pauseOptions() const
+    {
+        absl::BitGen random;
+        return {.first = m_options.firstRetryDelay, .max = m_options.maxRetryDelay, .seed = absl::Uniform<std::uint64_t>(random)};
     }
 
     template<class Action>
@@ -220,11 +251,15 @@
     StateMirror &m_mirror;
     StoreResponseHandler m_onResponse;
     OneShotTimer m_timer;
-    Duration m_retryDelay;
+    /** After failed calls. */
+    RetryPause m_retryPause;
+    /** After watches from a position that the store does not have. */
+    RetryPause m_historyPause;
     /** Objects without a valid name or revision in the last response. */
     std::size_t m_unidentified = 0;
     bool m_hasFailed = false;
     bool m_isRunning = false;
+    bool m_isWatching = false;
 };
 
 } // namespace Filbertmount
--- a/src/edge/statelisting.h
+++ b/src/edge/statelisting.h
@@ -49,8 +49,8 @@
                      "list",
                      m_options.callTimeout,
                      [this](const CallResult &result) {
-                         onPage(result.parse([this](int status, const std::string &body) {
-                             return m_protocol.parsePage(m_options.kind, status, body);
+                         onPage(result.parse([this](int status, const std::string &body, StoreEra era) {
+                             return m_protocol.parsePage(m_options.kind, status, body, era);
                          }));
                      });
     }
@@ -62,6 +62,12 @@
             finish(std::move(result));
             return;
         }
+        if (m_listed.storeRevision != Revision() && m_listed.storeRevision.era() != page->storeRevision.era()) {
+            // The store has returned from an older copy since the first page.
+            m_listed = StatePage();
+            readPage(std::string());
+            return;
+        }
         if (m_listed.storeRevision == Revision()) {
             // A watch from the first page's revision also returns changes that happen while the later pages are read.
             m_listed.storeRevision = page->storeRevision;
--- a/src/edge/statemirror.cpp
+++ b/src/edge/statemirror.cpp
@@ -47,6 +47,16 @@
     }
 }
 
+KnownEra &StateMirror::knownEra()
+{
+    return m_knownEra;
+}
+
+const KnownEra &StateMirror::knownEra() const
+{
+    return m_knownEra;
+}
+
 StoreContact &StateMirror::contact()
 {
     return m_contact;
@@ -110,15 +120,16 @@
     for (const std::string &name : namesOf(kind)) {
         // The listing contains nothing new on an upstream that is kept because its entry is gone.
         if (!listed.contains(name) && !isKept(kind, name)) {
-            remove(kind, {.name = name, .revision = storeRevision, .source = source, .expiry = {}}, now, changes);
+            remove(
+                kind, {.name = name, .revision = storeRevision, .source = source, .expiry = {}, .isAbsence = true}, now, changes);
         }
     }
     for (StateObject &object : objects) {
         apply(kind, std::move(object), source, changes);
     }
     m_revisions[kind] = storeRevision;
-    if (kind == StateKind::Upstreams) {
-        m_removalsSince = m_removalsSince.value_or(storeRevision);
+    if (kind == StateKind::Upstreams && (!m_removalsSince || m_removalsSince->era() != storeRevision.era())) {
+        m_removalsSince = storeRevision;
     }
     return changes;
 }
@@ -198,6 +209,7 @@
         changes.haveInstancesChanged = true;
         break;
     case StateKind::Evacuations:
+        m_lostEvacuations.erase(object.name);
         if (m_evacuations.start(object.name, object.revision)) {
             changes.evacuations.push_back({.object = std::move(object), .isDeleted = false});
         }
@@ -254,13 +266,29 @@
         changes.haveInstancesChanged = m_instances.erase(deletion.name) > 0 || changes.haveInstancesChanged;
         break;
     case StateKind::Evacuations:
-        if (m_evacuations.end(deletion.name, deletion.revision)) {
-            changes.evacuations.push_back(removalOf(deletion.name, deletion.revision));
-        }
+        removeEvacuation(deletion, now, changes);
         break;
     }
 }
 
+bool StateMirror::mayBeLost(const Deletion &deletion, Revision known)
+{
+    return deletion.revision.era() > known.era() && (deletion.isAbsence || deletion.expiry);
+}
+
+void StateMirror::removeEvacuation(const Deletion &deletion, Instant now, MirrorChanges &changes)
+{
+    const std::optional<Revision> known = m_evacuations.revision(deletion.name);
+    if (known && mayBeLost(deletion, *known)) {
+        m_lostEvacuations.try_emplace(deletion.name, now + m_options.lostEntryGrace);
+        return;
+    }
+    m_lostEvacuations.erase(deletion.name);
+    if (m_evacuations.end(deletion.name, deletion.revision)) {
+        changes.evacuations.push_back(removalOf(deletion.name, deletion.revision));
+    }
+}
+
 void StateMirror::removeUpstream(const Deletion &deletion, Instant now, MirrorChanges &changes)
 {
     const auto entry = m_upstreams.find(deletion.name);
@@ -278,8 +306,8 @@
         m_upstreamsHash -= entry->second.hash;
         rememberRemoval(deletion.name, deletion.revision);
     }
-    entry->second.revision = std::max(entry->second.revision, deletion.revision);
     entry->second.expiry = expiryOf(entry->second, deletion, now);
+    entry->second.revision = std::max(entry->second.revision, deletion.revision);
     DeletionDecision decision{.upstream = deletion.name, .revision = deletion.revision, .source = deletion.source};
     if (entry->second.expiry) {
         changes.upstreams.push_back(keptDeletion(deletion.name, entry->second, now));
@@ -301,7 +329,13 @@
     Expiry expiry{.removeAt = now + m_options.expiredEntryGrace,
                   .lastContact = m_contact.lastOutageStart(),
                   .learnedAt = now,
-                  .source = deletion.source};
+                  .source = deletion.source,
+                  .mayBeLost = mayBeLost(deletion, entry.revision)};
+    if (expiry.mayBeLost) {
+        const Duration left = deletion.expiry ? deletion.expiry->keepFor : m_options.lostEntryGrace;
+        expiry.removeAt = now + std::min(left, m_options.lostEntryGrace);
+        return expiry;
+    }
     if (deletion.source == StateSource::Instance) {
         if (!deletion.expiry || m_contact.covers(now - deletion.expiry->outageAge, now)) {
             return std::nullopt;
@@ -376,7 +410,7 @@
     MirrorChanges changes;
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
         const std::optional<Expiry> &expiry = entry->second.expiry;
-        const bool isNotExpired = expiry && m_contact.covers(expiry->lastContact, expiry->learnedAt);
+        const bool isNotExpired = expiry && !expiry->mayBeLost && m_contact.covers(expiry->lastContact, expiry->learnedAt);
         const bool isGraceOver = expiry && !m_contact.isOutage() && now >= expiry->removeAt;
         if (!isNotExpired && !isGraceOver) {
             ++entry;
@@ -390,6 +424,14 @@
                                      .expiry = toPossibleExpiry(*expiry, now)});
         entry = m_upstreams.erase(entry);
     }
+    std::erase_if(m_lostEvacuations, [&](const auto &lost) {
+        const bool isGraceOver = now >= lost.second;
+        const Revision end = revision(StateKind::Evacuations).value_or(Revision());
+        if (isGraceOver && m_evacuations.end(lost.first, end)) {
+            changes.evacuations.push_back(removalOf(lost.first, end));
+        }
+        return isGraceOver;
+    });
     return changes;
 }
 
@@ -433,7 +475,7 @@
 
 std::optional<std::vector<StateChange>> StateMirror::upstreamChangesSince(Revision from, Instant now) const
 {
-    if (!m_removalsSince || from < *m_removalsSince) {
+    if (!m_removalsSince || from < *m_removalsSince || from.era() != m_removalsSince->era()) {
         return std::nullopt;
     }
     std::vector<StateChange> changes;
--- a/src/edge/statemirrorroutes.cpp
+++ b/src/edge/statemirrorroutes.cpp
@@ -7,6 +7,10 @@
 {
     const auto &routes = std::get<RouteSet>(object.value);
     if (m_routes && !isNewer(routes, object.revision) && !isCorrection(routes, object.revision, source)) {
+        if (object.revision.era() > m_routesRevision.era()) {
+            // The version in force is kept; what the store changes under it from now on is newer.
+            m_routesRevision = object.revision;
+        }
         return;
     }
     m_areRoutesContradicted = false;
@@ -20,7 +24,9 @@
 {
     const bool isSame = received.version == m_routes->version();
     const bool addsAccounts = revision == m_routesRevision && received.requiresKey && !m_routes->routes().requiresKey;
-    const bool changesAccounts = isSame && revision > m_routesRevision && accessHash(received) != m_routes->accessHash();
+    // The accounts of the same version in an older copy may be those of before a change.
+    const bool isLater = revision.era() == m_routesRevision.era() && revision > m_routesRevision;
+    const bool changesAccounts = isSame && isLater && accessHash(received) != m_routes->accessHash();
     return received.version > m_routes->version() || (isSame && addsAccounts) || changesAccounts;
 }
 
--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -64,7 +64,7 @@
     Wire::Body body;
     Wire::StateDigest &digest = *body.mutable_state_digest();
     digest.set_kind(*toWire(kind));
-    digest.set_revision(m_mirror.revision(kind).value_or(Revision()).value());
+    setRevision(digest, m_mirror.revision(kind).value_or(Revision()));
     digest.set_hash(m_mirror.hash(kind));
     if (kind == StateKind::Routes) {
         digest.set_routes_hash(m_mirror.routesHash());
@@ -133,8 +133,8 @@
             push.set_difference_part(static_cast<std::uint32_t>(part));
             push.set_difference_parts(static_cast<std::uint32_t>(pushes.size()));
         }
-        push.set_base(base.value());
-        push.set_revision(m_mirror.revision(kind).value_or(Revision()).value());
+        setBase(push, base);
+        setRevision(push, m_mirror.revision(kind).value_or(Revision()));
         Wire::Envelope envelope;
         *envelope.add_bodies()->mutable_state_push() = std::move(push);
         if (kind == StateKind::Evacuations) {
@@ -159,8 +159,8 @@
     Wire::Envelope envelope;
     Wire::StatePush &push = *envelope.add_bodies()->mutable_state_push();
     push.set_kind(*toWire(StateKind::Routes));
-    push.set_base(base.value());
-    push.set_revision(m_mirror.revision(StateKind::Routes).value_or(Revision()).value());
+    setBase(push, base);
+    setRevision(push, m_mirror.revision(StateKind::Routes).value_or(Revision()));
     *push.add_objects() = toWire(change, *delta);
     m_fleet.sendToAll(envelope);
     return true;
@@ -180,7 +180,7 @@
         return false;
     }
     const Instant now = ProcessClock::now();
-    StateObject whole{.name = object.name(), .revision = Revision(object.revision()), .value = std::move(*routes)};
+    StateObject whole{.name = object.name(), .revision = positionOf(object), .value = std::move(*routes)};
     const StateChanges received{.changes = {{.object = std::move(whole), .isDeleted = false}}, .storeRevision = revision};
     const MirrorChanges changes = m_mirror.applyChanges(StateKind::Routes, received, now, StateSource::Instance);
     recordReceived(StateKind::Routes, now);
@@ -314,7 +314,10 @@
     const Instant now = ProcessClock::now();
     const Instant confirmedAt = now - fromMicroseconds(digest.age_us());
     m_mirror.contact().recordSpan({.since = confirmedAt - fromMicroseconds(digest.contact_us()), .until = confirmedAt});
-    const Revision theirs(digest.revision());
+    const Revision theirs = positionOf(digest);
+    if (digest.has_era()) {
+        m_mirror.knownEra().record(theirs.era());
+    }
     const std::optional<Revision> own = m_mirror.revision(*kind);
     const bool hasSameObjects = own && digest.hash() == m_mirror.hash(*kind);
     const bool hasOtherRoutes =
@@ -357,7 +360,7 @@
     }
     if (!digest.large() || !m_startSingleListing || state.wasLastFetchListing) {
         state.wasLastFetchListing = false;
-        sendPull(kind, from, Revision(digest.revision()));
+        sendPull(kind, from, positionOf(digest));
         return;
     }
     state.wasLastFetchListing = true;
@@ -382,15 +385,15 @@
     }
     const std::optional<RouteSetDelta> delta = push.objects_size() == 1 ? deltaFromWire(push.objects(0)) : std::nullopt;
     if (delta) {
-        if (!applyRoutesDelta(push.objects(0), *delta, Revision(push.revision()))) {
-            pullIfDue(*kind, from, Revision(push.revision()), ProcessClock::now());
+        if (!applyRoutesDelta(push.objects(0), *delta, positionOf(push))) {
+            pullIfDue(*kind, from, positionOf(push), ProcessClock::now());
         }
         return;
     }
     std::vector<StateChange> changes;
     changes.reserve(static_cast<std::size_t>(push.objects_size()));
     for (const Wire::SharedObject &object : push.objects()) {
-        if (std::optional<StateChange> change = fromWire(object, *kind)) {
+        if (std::optional<StateChange> change = fromWire(object, *kind, m_mirror.knownEra().first())) {
             changes.push_back(std::move(*change));
         }
     }
@@ -400,10 +403,10 @@
     }
     const std::optional<Revision> own = m_mirror.revision(*kind);
     if (!own) {
-        pullIfDue(*kind, from, Revision(push.revision()), ProcessClock::now());
+        pullIfDue(*kind, from, positionOf(push), ProcessClock::now());
         return;
     }
-    if (Revision(push.revision()) < *own) {
+    if (positionOf(push) < *own) {
         return;
     }
     // Each change is valid by itself. The digest that follows shows whether earlier ones were missed.
@@ -413,8 +416,9 @@
 void StateReplicator::applyDifference(StateKind kind, const Wire::StatePush &push, std::vector<StateChange> received, Instant now)
 {
     const Revision own = *m_mirror.revision(kind);
-    const bool isComplete = own >= Revision(push.base());
-    const Revision revision = isComplete ? Revision(push.revision()) : own;
+    const StoreEra baseEra = push.has_base_era() ? StoreEra(push.base_era()) : m_mirror.knownEra().first();
+    const bool isComplete = own >= Revision(push.base(), baseEra);
+    const Revision revision = isComplete ? positionOf(push) : own;
     const MirrorChanges changes =
         m_mirror.applyChanges(kind, {.changes = std::move(received), .storeRevision = revision}, now, StateSource::Instance);
     if (isComplete) {
@@ -430,7 +434,7 @@
 {
     const bool isDifference = push.difference_parts() > 0;
     ChangePart received{.from = from,
-                        .revision = Revision(push.revision()),
+                        .revision = positionOf(push),
                         .isDifference = isDifference,
                         .part = isDifference ? push.difference_part() : push.part(),
                         .parts = isDifference ? push.difference_parts() : push.parts(),
@@ -451,7 +455,7 @@
 void StateReplicator::applyParts(StateKind kind, const Wire::StatePush &lastPart, std::vector<StateChange> all)
 {
     const Instant now = ProcessClock::now();
-    const Revision revision(lastPart.revision());
+    const Revision revision = positionOf(lastPart);
     const std::optional<Revision> own = m_mirror.revision(kind);
     if (lastPart.difference_parts() > 0) {
         // Without the base, the changes are valid, but earlier ones are missing.
--- a/src/edge/statereplicator.h
+++ b/src/edge/statereplicator.h
@@ -2,6 +2,7 @@
 
 #include "edge/fleet.h"
 #include "edge/partcollector.h"
+#include "edge/statewire.h"
 
 #include <filbertmount/edge/pullbackoff.h>
 #include <filbertmount/edge/readerelection.h>
@@ -95,6 +96,12 @@
     };
 
     void setHandlers();
+    /** Returns the position in the fields revision and era of @p message. */
+    template<class Message>
+    [[nodiscard]] Revision positionOf(const Message &message) const
+    {
+        return revisionOf(message, m_mirror.knownEra().first());
+    }
     /** Returns nothing for kinds that this instance does not replicate. */
     [[nodiscard]] std::optional<StateKind> replicatedKind(Wire::StateKind wire) const;
     void sendChanges(StateKind kind, Revision base, const std::vector<StateChange> &changes, Instant now);
--- a/src/edge/statereplicatorpulls.cpp
+++ b/src/edge/statereplicatorpulls.cpp
@@ -75,9 +75,10 @@
     Wire::Envelope envelope;
     Wire::StatePull &pull = *envelope.add_bodies()->mutable_state_pull();
     pull.set_kind(*toWire(kind));
-    pull.set_revision(wanted.value());
+    setRevision(pull, wanted);
     const std::optional<Revision> own = m_mirror.revision(kind);
-    if (kind == StateKind::Upstreams && own && *own < wanted) {
+    const bool isOlder = own && *own < wanted && own->era() == wanted.era();
+    if (kind == StateKind::Upstreams && isOlder) {
         pull.set_have_revision(own->value());
     }
     m_fleet.send(pullSource(from), std::move(envelope));
@@ -87,7 +88,8 @@
 {
     const std::optional<StateKind> kind = replicatedKind(pull.kind());
     const std::optional<Revision> own = kind ? m_mirror.revision(*kind) : std::nullopt;
-    if (!own || *own < Revision(pull.revision())) {
+    const Revision wanted = positionOf(pull);
+    if (!own || *own < wanted) {
         return;
     }
     if (pull.digest_only()) {
@@ -103,7 +105,7 @@
                 {{.name = "kind", .value = std::string(stateKindName(*kind))}, {.name = "to", .value = from.value()}});
     }
     const bool hasState = *kind == StateKind::Upstreams && pull.have_revision() > 0;
-    if (!hasState || !sendDifference(from, Revision(pull.have_revision()))) {
+    if (!hasState || !sendDifference(from, Revision(pull.have_revision(), wanted.era()))) {
         sendFullState(*kind, from);
     }
 }
@@ -125,8 +127,8 @@
              {.name = "changes", .value = static_cast<std::int64_t>(changes->size())}});
     for (std::size_t part = 0; part < pushes.size(); ++part) {
         Wire::StatePush &push = pushes[part];
-        push.set_base(base.value());
-        push.set_revision(revision.value());
+        setBase(push, base);
+        setRevision(push, revision);
         push.set_difference_part(static_cast<std::uint32_t>(part));
         push.set_difference_parts(static_cast<std::uint32_t>(pushes.size()));
         Wire::Envelope envelope;
@@ -146,7 +148,7 @@
              {.name = "revision", .value = static_cast<std::int64_t>(m_mirror.revision(kind)->value())},
              {.name = "parts", .value = static_cast<std::int64_t>(pushes.size())}});
     for (std::size_t part = 0; part < pushes.size(); ++part) {
-        pushes[part].set_revision(m_mirror.revision(kind)->value());
+        setRevision(pushes[part], *m_mirror.revision(kind));
         pushes[part].set_part(static_cast<std::uint32_t>(part));
         pushes[part].set_parts(static_cast<std::uint32_t>(pushes.size()));
         Wire::Envelope envelope;
--- a/src/edge/stateservice.h
+++ b/src/edge/stateservice.h
@@ -97,6 +97,17 @@
         m_registration.depart();
     }
 
+    /** Reads again what a return of the store from an older copy may have changed (see KnownEra). */
+    void onStoreReturn()
+    {
+        m_routesFollower.onStoreReturn();
+        m_upstreamsFollower.onStoreReturn();
+        if (m_evacuationsFollower) {
+            m_evacuationsFollower->onStoreReturn();
+        }
+        m_registration.onStoreReturn();
+    }
+
     /** Lists the store's objects again after a suspension: the state may be old, and the age of confirmations is unknown. */
     void rereadStore()
     {
--- a/src/edge/statewire.cpp
+++ b/src/edge/statewire.cpp
@@ -219,11 +219,17 @@
     }
 }
 
+void setBase(Wire::StatePush &push, Revision base)
+{
+    push.set_base(base.value());
+    push.set_base_era(base.era().value());
+}
+
 Wire::SharedObject toWire(const StateChange &change)
 {
     Wire::SharedObject object;
     object.set_name(change.object.name);
-    object.set_revision(change.object.revision.value());
+    setRevision(object, change.object.revision);
     object.set_deleted(change.isDeleted);
     if (const auto *upstream = std::get_if<UpstreamRecord>(&change.object.value)) {
         write(*upstream, *object.mutable_upstream());
@@ -367,7 +373,7 @@
 {
     Wire::SharedObject object;
     object.set_name(change.object.name);
-    object.set_revision(change.object.revision.value());
+    setRevision(object, change.object.revision);
     Wire::SharedRouteSet &routes = *object.mutable_routes();
     write(delta.changes, routes);
     routes.set_base_version(delta.base.value());
@@ -392,9 +398,9 @@
                          .removedAccounts = readNames<AccountName>(wire.removed_accounts())};
 }
 
-std::optional<StateChange> fromWire(const Wire::SharedObject &object, StateKind kind)
+std::optional<StateChange> fromWire(const Wire::SharedObject &object, StateKind kind, StoreEra defaultEra)
 {
-    StateChange change{.object = {.name = object.name(), .revision = Revision(object.revision()), .value = MalformedObject()},
+    StateChange change{.object = {.name = object.name(), .revision = revisionOf(object, defaultEra), .value = MalformedObject()},
                        .isDeleted = object.deleted()};
     if (object.deleted() && object.has_expiry()) {
         change.expiry = {.keepFor = fromMicroseconds(object.expiry().keep_us()),
--- a/src/edge/statewire.h
+++ b/src/edge/statewire.h
@@ -17,6 +17,24 @@
 std::optional<Wire::StateKind> toWire(StateKind kind);
 std::optional<StateKind> fromWire(Wire::StateKind kind);
 
+/** Returns the position in the fields revision and era; @p defaultEra applies if the sender does not know eras. */
+template<class Message>
+Revision revisionOf(const Message &message, StoreEra defaultEra)
+{
+    return Revision(message.revision(), message.has_era() ? StoreEra(message.era()) : defaultEra);
+}
+
+/** Sets the fields revision and era. */
+template<class Message>
+void setRevision(Message &message, Revision revision)
+{
+    message.set_revision(revision.value());
+    message.set_era(revision.era().value());
+}
+
+/** Sets the fields base and base_era. */
+void setBase(Wire::StatePush &push, Revision base);
+
 /** Encodes @p change with its complete object. */
 Wire::SharedObject toWire(const StateChange &change);
 /** Limit on objects per message; an upstream takes about 110 bytes. */
@@ -47,7 +65,10 @@
 /** Returns the difference that @p object contains, or nothing when it contains a complete object. */
 std::optional<RouteSetDelta> deltaFromWire(const Wire::SharedObject &object);
 
-/** Decodes a complete object; returns nothing when @p object has no valid value of @p kind. */
-std::optional<StateChange> fromWire(const Wire::SharedObject &object, StateKind kind);
+/**
+ * Decodes a complete object; returns nothing when @p object has no valid value of @p kind.
+ * @param defaultEra of an object from a sender that does not know eras
+ */
+std::optional<StateChange> fromWire(const Wire::SharedObject &object, StateKind kind, StoreEra defaultEra = StoreEra());
 
 } // namespace Filbertmount
--- a/src/edge/storecalls.cpp
+++ b/src/edge/storecalls.cpp
@@ -18,9 +18,10 @@
 
 } // namespace
 
-StoreCalls::StoreCalls(IoLoop &loop, Tcp::endpoint store, Metrics &metrics, StateKind kind)
+StoreCalls::StoreCalls(IoLoop &loop, Tcp::endpoint store, EraReader eraReader, Metrics &metrics, StateKind kind)
     : m_loop(loop)
     , m_store(std::move(store))
+    , m_eraReader(std::move(eraReader))
     , m_metrics(metrics)
     , m_kind(kind)
 {
@@ -48,7 +49,9 @@
     m_connection->exchange({.request = serializeRequest(request, m_store), .timeout = timeout},
                            [this, operation, handler = std::move(handler)](ExchangeResult result) {
                                countCall(operation, result);
-                               handler(CallResult{std::move(result)});
+                               const bool hasResponded = result.end == ExchangeEnd::Responded;
+                               const StoreEra era = hasResponded ? m_eraReader(result.response.headers) : StoreEra();
+                               handler(CallResult{.exchange = std::move(result), .era = era});
                            });
 }
 
--- a/src/edge/storecalls.h
+++ b/src/edge/storecalls.h
@@ -3,6 +3,7 @@
 #include "edge/clientconnection.h"
 
 #include <filbertmount/edge/sharedstate.h>
+#include <filbertmount/edge/statemirror.h>
 #include <filbertmount/telemetry/metrics.h>
 
 #include <functional>
@@ -26,7 +27,7 @@
      * and results in messages to every instance.
      */
     Duration pauseAfterChanges = std::chrono::milliseconds(250);
-    /** Delay before the first retry; doubles with each failure up to maxRetryDelay. */
+    /** Longest pause before the first retry; doubles with each failure up to maxRetryDelay (see RetryPause). */
     Duration firstRetryDelay = std::chrono::milliseconds(50);
     Duration maxRetryDelay = std::chrono::milliseconds(400);
     /** Returns true if the process was suspended until just now, so that a response may be old and is read again. */
@@ -36,18 +37,42 @@
 /** How a call to the store ended, with its response not parsed yet. */
 struct CallResult {
     ExchangeResult exchange;
+    /** Era of the revisions in the response. */
+    StoreEra era = {};
 
-    /** Passes the response's status and body to @p parser and returns what it returns, or an error when there is no response. */
+    /**
+     * Passes the response's status and body and the era to @p parser and returns what it returns, or an error when there is no
+     * response.
+     */
     template<class Parser>
-    [[nodiscard]] auto parse(Parser parser) const -> decltype(parser(0, std::string()))
+    [[nodiscard]] auto parse(Parser parser) const -> decltype(parser(0, std::string(), StoreEra()))
     {
         if (exchange.end != ExchangeEnd::Responded) {
             return StoreError{.problem = StoreProblem::Unavailable, .reason = exchange.reason};
         }
-        return parser(exchange.response.status, exchange.response.body);
+        return parser(exchange.response.status, exchange.response.body, era);
     }
 };
 
+/** Returns the era of the revisions in a response with these headers. */
+using EraReader = std::function<StoreEra(const Headers &)>;
+
+/**
+ * Returns a reader that records each stated era in @p mirror. A response without one belongs to the latest known era.
+ * @param mirror outlives the reader
+ */
+template<StoreProtocol Protocol>
+EraReader eraReader(const Protocol &protocol, StateMirror &mirror)
+{
+    return [protocol, &mirror](const Headers &headers) {
+        const std::optional<StoreEra> stated = protocol.era(headers);
+        if (stated) {
+            mirror.knownEra().record(*stated);
+        }
+        return stated.value_or(mirror.knownEra().latest());
+    };
+}
+
 /** Sends calls to the store one at a time over a persistent connection. Runs on the IoLoop. */
 class StoreCalls
 {
@@ -55,7 +80,7 @@
     using Handler = std::function<void(const CallResult &)>;
 
     /** @param kind label of the calls in metrics */
-    StoreCalls(IoLoop &loop, Tcp::endpoint store, Metrics &metrics, StateKind kind);
+    StoreCalls(IoLoop &loop, Tcp::endpoint store, EraReader eraReader, Metrics &metrics, StateKind kind);
     ~StoreCalls();
     StoreCalls(const StoreCalls &) = delete;
     StoreCalls &operator=(const StoreCalls &) = delete;
@@ -70,6 +95,7 @@
 
     IoLoop &m_loop;
     Tcp::endpoint m_store;
+    EraReader m_eraReader;
     Metrics &m_metrics;
     StateKind m_kind;
     std::shared_ptr<ClientConnection> m_connection;
--- a/tests/edge/statefollowertest.cpp
+++ b/tests/edge/statefollowertest.cpp
@@ -140,6 +140,28 @@
     }
 }
 
+// The returned store had given out the known number again: the watch succeeded, and what was written before it was never seen.
+TEST_CASE("state follower: lists again when a watch is answered in a later era, or when the era changes between two pages")
+{
+    const auto inEra = [](std::string text, int era) {
+        return text.insert(text.find("\r\n") + 2, "Store-Era: " + std::to_string(era) + "\r\n");
+    };
+    const std::string change =
+        response(200, R"({"events":[{"deleted":false,"object":)" + object("c", 11) + R"(}],"store_revision":11})");
+    Fixture fixture({inEra(listing(object("a", 3), 10), 1),
+                     inEra(change, 2),
+                     inEra(listing(object("a", 3), 11, true), 2),
+                     inEra(listing(object("z", 3), 9), 3),
+                     inEra(listing(object("a", 3) + "," + object("b", 9), 9), 3)});
+    fixture.follower.start();
+    REQUIRE(fixture.runUntilCalls(6));
+    CHECK(fixture.calls[2].find("watch") == std::string::npos);
+    CHECK(fixture.calls[4].find("after") == std::string::npos);
+    CHECK(fixture.calls[5].find("watch=9") != std::string::npos);
+    CHECK(fixture.mirror.revision(StateKind::Upstreams) == Revision(9, StoreEra(3)));
+    CHECK(fixture.mirror.knownEra().returns() == 2);
+}
+
 TEST_CASE("state follower: a listing whose later page is lost removes nothing")
 {
     Fixture fixture(
--- a/tests/platform/storeprotocoltest.cpp
+++ b/tests/platform/storeprotocoltest.cpp
@@ -38,6 +38,29 @@
 
 } // namespace
 
+TEST_CASE("store protocol: the era is read from the header, and all positions of a response belong to it")
+{
+    const struct {
+        const char *name;
+        Headers headers;
+        std::optional<StoreEra> expected;
+    } rows[] = {
+        {"stated", {{.name = "store-era", .value = "7"}}, StoreEra(7)},
+        {"absent", {{.name = "Date", .value = "7"}}, std::nullopt},
+        {"not a number", {{.name = "Store-Era", .value = "new"}}, std::nullopt},
+        {"negative", {{.name = "Store-Era", .value = "-1"}}, std::nullopt},
+    };
+    for (const auto &row : rows) {
+        CAPTURE(row.name);
+        CHECK(Protocol.era(row.headers) == row.expected);
+    }
+    const std::string object = entry(GoodSpec, GoodStatus);
+    const auto listed = Protocol.parsePage(
+        StateKind::Upstreams, 200, absl::StrCat(R"({"items":[)", object, R"(],"store_revision":530})"), StoreEra(7));
+    CHECK(std::get<StatePage>(listed).storeRevision == Revision(530, StoreEra(7)));
+    CHECK(std::get<StatePage>(listed).objects.at(0).revision == Revision(7, StoreEra(7)));
+}
+
 TEST_CASE("store protocol: an upstream's entry is read into typed fields")
 {
     const StatePage read = page(StateKind::Upstreams, entry(GoodSpec, GoodStatus));
