--- a/scripts/lib/soak/store.py
+++ b/scripts/lib/soak/store.py
@@ -10,6 +10,8 @@
     def __init__(self, random):
         self._random = random
         self.revision = 1
+        # Rises with each return from an older copy.
+        self.era = 1
         self.objects = {}
         self.events = []
         self._history_start = 0
@@ -50,6 +52,19 @@
         """From now on, reads with stale_ok return the present state, whatever changes later."""
         self._stale_copy = (self.revision, dict(self.objects))
 
+    def copy(self):
+        return self.revision, dict(self.objects), list(self.events)
+
+    async def return_from(self, copy):
+        """Loses everything after the copy: its revisions are given out again."""
+        self.revision, objects, events = copy
+        self.objects, self.events = dict(objects), list(events)
+        self.era += 1
+        self._history_start = min(self._history_start, self.revision)
+        self._stale_copy = (self.revision, dict(self.objects))
+        async with self._changed:
+            self._changed.notify_all()
+
     async def drop_history(self):
         """Makes watches from an earlier revision fail with 410."""
         self._history_start = self.revision
@@ -68,7 +83,7 @@
                     break
                 while self.outage == "silent":
                     await asyncio.sleep(0.05)
-                writer.write(format_response(503) if self.outage == "busy" else await self._handle(message))
+                writer.write(self._format(503) if self.outage == "busy" else await self._handle(message))
                 await writer.drain()
         except (IncompleteMessage, OSError, ConnectionAbortedError):
             pass
@@ -93,7 +108,7 @@
     async def _create(self, kind, item):
         name = item["metadata"]["name"]
         if (kind, name) in self.objects:
-            return format_response(409, json.dumps(self.objects[(kind, name)]).encode())
+            return self._json(self.objects[(kind, name)], 409)
         await self.put(kind, name, item.get("spec"), item.get("status"))
         if self._random.random() < self.lost_response_share:
             raise ConnectionAbortedError
@@ -102,25 +117,36 @@
     async def _delete(self, kind, name, revision):
         item = self.objects.get((kind, name))
         if item is None:
-            return format_response(404)
+            return self._format(404)
         if revision is not None and int(revision) != item["metadata"]["revision"]:
-            return format_response(409, json.dumps(item).encode())
+            return self._json(item, 409)
         await self.delete(kind, name)
         return self._json({})
 
     async def _watch(self, kind, since, wait_s):
+        era = self.era
+
         def new_events():
             return [event for revision, event_kind, event in self.events if event_kind == kind and revision > since]
 
         try:
             async with self._changed:
-                await asyncio.wait_for(self._changed.wait_for(lambda: new_events() or since < self._history_start), wait_s)
+                await asyncio.wait_for(
+                    self._changed.wait_for(
+                        lambda: new_events() or since < self._history_start or since > self.revision or self.era != era
+                    ),
+                    wait_s,
+                )
         except asyncio.TimeoutError:
             pass
-        if since < self._history_start:
-            return format_response(410)
+        if self.era != era:
+            raise ConnectionAbortedError
+        if since < self._history_start or since > self.revision:
+            return self._format(410)
         return self._json({"events": new_events(), "store_revision": self.revision})
 
-    @staticmethod
-    def _json(value, status=200):
-        return format_response(status, json.dumps(value).encode(), [("Content-Type", "application/json")])
+    def _json(self, value, status=200):
+        return self._format(status, json.dumps(value).encode())
+
+    def _format(self, status, body=b""):
+        return format_response(status, body, [("Content-Type", "application/json"), ("Store-Era", self.era)])
