--- a/src/edge/statefollower.h
+++ b/src/edge/statefollower.h
@@ -196,7 +196,7 @@
 
     void logIgnoredListing(Revision listed, Revision known)
     {
-        logLine(LogLevel::Warning,
+        logLine(LogLevel::Info,
                 "a listing is ignored because it is older than the known state",
                 {{.name = "kind", .value = std::string(stateKindName(m_kind))},
                  {.name = "revision", .value = static_cast<std::int64_t>(listed.value())},
