--- a/include/filbertmount/types/ids.h
+++ b/include/filbertmount/types/ids.h
@@ -138,7 +138,8 @@
     }
     friend std::ostream &operator<<(std::ostream &stream, const Revision &revision)
     {
-        return stream << revision.m_value << " of era " << revision.m_era;
+        stream << revision.m_value;
+        return revision.m_era == StoreEra() ? stream : stream << " of era " << revision.m_era;
     }
 
 private:
