--- a/include/filbertmount/edge/knownera.h
+++ b/include/filbertmount/edge/knownera.h
@@ -13,6 +13,7 @@
 class KnownEra
 {
 public:
+    /** Records an era that the store or another instance stated; a lower one than before comes from an old message. */
     void record(StoreEra era);
     /** The highest era that was stated; 0 before the first one. */
     [[nodiscard]] StoreEra latest() const;
--- a/include/filbertmount/edge/statemirror.h
+++ b/include/filbertmount/edge/statemirror.h
@@ -244,6 +244,7 @@
     /** Whether @p name is an upstream that stays in use after the deletion of its entry. */
     [[nodiscard]] bool isKept(StateKind kind, const std::string &name) const;
     [[nodiscard]] static PossibleExpiry toPossibleExpiry(const Expiry &expiry, Instant now);
+    [[nodiscard]] static StateChange removalOf(const std::string &name, Revision revision);
     [[nodiscard]] static StateChange listedObject(const std::string &name, const UpstreamEntry &entry);
     /** The deletion of an entry whose upstream is kept, as it is sent to other instances. */
     [[nodiscard]] static StateChange keptDeletion(const std::string &name, const UpstreamEntry &entry, Instant now);
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -1,8 +1,8 @@
 #include "edge/edgeserver.h"
 
-#include <filbertmount/telemetry/log.h>
+#include "edge/randomseed.h"
 
-#include <absl/random/random.h>
+#include <filbertmount/telemetry/log.h>
 
 #include <algorithm>
 
@@ -42,12 +42,6 @@
 // Short because every message between instances contains it.
 constexpr const char *Cluster = "fm";
 
-std::uint64_t randomSeed()
-{
-    absl::BitGen random;
-    return absl::Uniform<std::uint64_t>(random);
-}
-
 Member selfMember(const EdgeSettings &settings)
 {
     constexpr std::size_t suffixDigits = 6;
--- a/src/edge/instanceregistration.h
+++ b/src/edge/instanceregistration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "edge/randomseed.h"
 #include "edge/statelisting.h"
 
 #include <filbertmount/edge/retrypause.h>
@@ -178,12 +179,6 @@
         });
     }
 
-    static std::uint64_t randomSeed()
-    {
-        absl::BitGen random;
-        return absl::Uniform<std::uint64_t>(random);
-    }
-
     /** Live seeds respond to a joining instance within this time. */
     static constexpr Duration FirstListingDelay = std::chrono::milliseconds(600);
     /** After this time, even a stale listing contains what the instances wrote at the start and at the shutdown before. */
--- a/src/edge/statefollower.h
+++ b/src/edge/statefollower.h
@@ -1,13 +1,12 @@
 #pragma once
 
+#include "edge/randomseed.h"
 #include "edge/statelisting.h"
 
 #include <filbertmount/edge/retrypause.h>
 #include <filbertmount/edge/statemirror.h>
 #include <filbertmount/telemetry/log.h>
 
-#include <absl/random/random.h>
-
 #include <functional>
 #include <string>
 #include <utility>
@@ -233,8 +232,7 @@
 
     [[nodiscard]] RetryPause::Options pauseOptions() const
     {
-        absl::BitGen random;
-        return {.first = m_options.firstRetryDelay, .max = m_options.maxRetryDelay, .seed = absl::Uniform<std::uint64_t>(random)};
+        return {.first = m_options.firstRetryDelay, .max = m_options.maxRetryDelay, .seed = randomSeed()};
     }
 
     template<class Action>
