--- a/review/lib-3/testbed.py
+++ b/review/lib-3/testbed.py
@@ -264,12 +264,20 @@
             )  # fmt: skip
         )
         self.ready_port, self.front_port = ports["ready"], ports["front"]
-        self._store_address = testbed.store_address
+        self._store_address, self._memory_mb = testbed.store_address, memory_mb
 
     def use_store(self, address):
         """Makes the machine reach the store at another address, such as that of a proxy; call before start()."""
+        self._replace(f'address = "{self._store_address}"', f'address = "{address}"')
+
+    def set_size(self, processors, memory_mb):
+        """Sets the share of a processor and the memory that the settings state; call before start()."""
+        self._replace("processors = 0.2", f"processors = {processors}")
+        self._replace(f"memory_mb = {self._memory_mb}", f"memory_mb = {memory_mb}")
+
+    def _replace(self, old, new):
         text = self._settings.read_text(encoding="utf-8")
-        self._settings.write_text(text.replace(f'"{self._store_address}"', f'"{address}"'), encoding="utf-8")
+        self._settings.write_text(text.replace(old, new), encoding="utf-8")
 
     async def start(self):
         with self._log.open("ab") as log:
