--- a/review/12/weights.py
+++ b/review/12/weights.py
@@ -62,4 +62,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(tb.play(case, tb.folder_of(__file__), machines=MACHINES))
+    sys.exit(tb.play(case, tb.folder_of(__file__), machines=MACHINES, record="record-weights.txt"))
--- a/review/lib-3/testbed.py
+++ b/review/lib-3/testbed.py
@@ -32,10 +32,10 @@
 
 
 class Record:
-    """The file record.txt of a case: what was sent, answered and run."""
+    """The record of a case, record.txt for run.sh: what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self._file = open(Path(folder) / "record.txt", "w", encoding="utf-8")
+    def __init__(self, folder, name):
+        self._file = open(Path(folder) / name, "w", encoding="utf-8")
         self._start = time.monotonic()
 
     def add(self, text):
@@ -211,6 +211,8 @@
         super().__init__()
         self.identity, self.service = identity, service
         self.runs = []
+        # Set while it leaves, which all its answers then state.
+        self.is_leaving = False
         self._record, self._work_s = record, work_s
         self._slots = asyncio.Semaphore(2)
         self._waiting = 0
@@ -226,7 +228,7 @@
         if path == "/health":
             return response(200, b"", [("X-Filbertmount-Instance-Id", self.identity), load])
         attempt = headers.get("x-filbertmount-attempt-id", "")
-        echo = [("X-Filbertmount-Attempt-Id", attempt), load]
+        echo = [("X-Filbertmount-Attempt-Id", attempt), load, *([("Server-Leaving", "1")] if self.is_leaving else [])]
         if headers.get("x-filbertmount-target-instance", self.identity) != self.identity:
             return response(421, b"", [*echo, ("X-Filbertmount-Instance-Id", self.identity)])
         if self._waiting >= 4:
@@ -349,8 +351,8 @@
 class Testbed:
     """All parts of one case."""
 
-    def __init__(self, folder, machines, memory_mb=260):
-        self.record = Record(folder)
+    def __init__(self, folder, machines, memory_mb=260, record="record.txt"):
+        self.record = Record(folder, record)
         self.folder = Path(tempfile.mkdtemp(prefix="filbertmount-review-"))
         self._net = f"127.{random.randrange(64, 250)}.{random.randrange(1, 250)}"
         self.ports = self._free_ports(("front", "ready", "control", "peer", "metrics", "store", "endpoint"))
