Log how far a failed call got, and messages too large to send

Two causes were possible: the store's answer is cut off while it arrives, or other instances' messages never leave. The logs could not tell them apart: a call that timed out did not say how much had arrived, and an unsendable message only raised a counter.

A failed call now states the bytes received; the first unsendable message and each 1,000th is logged with kind, size and reason.

--- a/src/edge/clientconnection.cpp
+++ b/src/edge/clientconnection.cpp
@@ -62,6 +62,7 @@
     m_handler = std::move(handler);
     m_isBusy = true;
     m_discardedResponses = 0;
+    m_receivedBytes = 0;
     m_reservation = BufferReservation(m_options.budget);
     m_deadline = ProcessClock::now() + m_options.timeout;
     startParser();
@@ -75,7 +76,8 @@
 void ClientConnection::startTimer(Duration timeout, ExchangeEnd end, const char *reason)
 {
     m_timer.start(timeout, [self = shared_from_this(), end, reason] {
-        self->finish(end, reason);
+        const std::size_t bytes = self->m_receivedBytes;
+        self->finish(end, bytes == 0 ? reason : reason + (" after " + std::to_string(bytes) + " bytes"));
     });
 }
 
@@ -134,6 +136,7 @@
         return;
     }
     m_received.append(m_buffer.data(), bytes);
+    m_receivedBytes += bytes;
     parse();
     if (!m_isClosed) {
         read();
--- a/src/edge/clientconnection.h
+++ b/src/edge/clientconnection.h
@@ -127,6 +127,8 @@
     Handler m_handler;
     std::optional<Parser> m_parser;
     std::string m_received;
+    /** Received in the current exchange. */
+    std::size_t m_receivedBytes = 0;
     std::array<char, 4096> m_buffer{};
     Instant m_sentAt{};
     Instant m_deadline{};
--- a/src/edge/peersocket.cpp
+++ b/src/edge/peersocket.cpp
@@ -1,5 +1,7 @@
 #include "edge/peersocket.h"
 
+#include <filbertmount/telemetry/log.h>
+
 #include <boost/asio/buffer.hpp>
 
 namespace Filbertmount {
@@ -10,6 +12,8 @@
 constexpr std::size_t MaxDatagram = 65'507;
 // More datagrams than a receive buffer holds; bounds the time if they arrive faster than they are discarded.
 constexpr std::size_t MaxDiscarded = 16'384;
+// Keeps messages that cannot be sent from filling the log.
+constexpr std::uint64_t UnsendableLogInterval = 1000;
 
 } // namespace
 
@@ -129,11 +133,26 @@
     error_code error;
     m_socket.send_to(Asio::buffer(m_encoded), address, 0, error);
     if (error) {
-        m_dropped.Increment();
+        reportUnsendable(envelope, error);
         return;
     }
     m_sent.Increment();
     m_sentBytes.Increment(static_cast<double>(m_encoded.size()));
 }
 
+void PeerSocket::reportUnsendable(const Wire::Envelope &envelope, const error_code &error)
+{
+    m_dropped.Increment();
+    if (m_unsendable++ % UnsendableLogInterval != 0) {
+        return;
+    }
+    const auto kind = envelope.bodies_size() > 0 ? static_cast<std::int64_t>(envelope.bodies(0).kind_case()) : 0;
+    logLine(LogLevel::Warning,
+            "a message to another instance cannot be sent",
+            {{.name = "kind", .value = kind},
+             {.name = "bytes", .value = static_cast<std::int64_t>(m_encoded.size())},
+             {.name = "unsendable", .value = static_cast<std::int64_t>(m_unsendable)},
+             {.name = "reason", .value = error.message()}});
+}
+
 } // namespace Filbertmount
--- a/src/edge/peersocket.h
+++ b/src/edge/peersocket.h
@@ -62,6 +62,8 @@
     /** Returns the address of @p peer; null if none is known. */
     [[nodiscard]] const Asio::ip::udp::endpoint *addressOf(const InstanceId &peer) const;
     void sendTo(const Asio::ip::udp::endpoint &address, Wire::Envelope envelope);
+    /** Counts a message that cannot be sent, and logs the first one and then every UnsendableLogInterval-th. */
+    void reportUnsendable(const Wire::Envelope &envelope, const error_code &error);
 
     Options m_options;
     /** Shared with the handler of a received datagram, which may already be queued on the loop when the socket is destroyed. */
@@ -78,6 +80,7 @@
     std::vector<char> m_buffer;
     std::string m_encoded;
     std::uint64_t m_lastSequence = 0;
+    std::uint64_t m_unsendable = 0;
     prometheus::Counter &m_sent;
     prometheus::Counter &m_sentBytes;
     prometheus::Counter &m_dropped;
