Let answers of the store and messages to instances take the time and the datagrams that their size needs

Change: a response may take longer while it arrives, at 32 KiB/s or more and with no pause over 300 ms (TransferDeadline). A listing in progress is not started again by each digest, and no pull competes with it. Messages between instances are bounded by bytes; accounts with many keys are split; what is longer by itself is sent in fragments. Whether a state is large, and whether a delta is sent, is decided by bytes too.

Tests, each failed with its part taken out: singlelistingtest (25 listings begun, none ended), statewiretest (323,292 bytes in a message), messagefragmentstest (not delivered); clientconnectiontest has the fixed timeout as a row.

--- a/src/edge/clientconnection.cpp
+++ b/src/edge/clientconnection.cpp
@@ -64,7 +64,7 @@
     m_discardedResponses = 0;
     m_receivedBytes = 0;
     m_reservation = BufferReservation(m_options.budget);
-    m_deadline = ProcessClock::now() + m_options.timeout;
+    m_deadline = TransferDeadline(ProcessClock::now() + m_options.timeout, m_options.progress);
     startParser();
     if (m_isConnected) {
         send();
@@ -76,8 +76,19 @@
 void ClientConnection::startTimer(Duration timeout, ExchangeEnd end, const char *reason)
 {
     m_timer.start(timeout, [self = shared_from_this(), end, reason] {
-        const std::size_t bytes = self->m_receivedBytes;
-        self->finish(end, bytes == 0 ? reason : reason + (" after " + std::to_string(bytes) + " bytes"));
+        self->finish(end, reason);
+    });
+}
+
+void ClientConnection::startResponseTimer()
+{
+    m_timer.start(m_deadline.time() - ProcessClock::now(), [self = shared_from_this()] {
+        if (ProcessClock::now() < self->m_deadline.time()) {
+            self->startResponseTimer();
+            return;
+        }
+        const std::string bytes = std::to_string(self->m_receivedBytes);
+        self->finish(ExchangeEnd::TimedOut, "no complete response in time after " + bytes + " bytes");
     });
 }
 
@@ -103,7 +114,7 @@
 {
     m_sentAt = ProcessClock::now();
     m_isSending = true;
-    startTimer(m_deadline - m_sentAt, ExchangeEnd::TimedOut, "no complete response in time");
+    startResponseTimer();
     Asio::async_write(
         m_socket, Asio::buffer(m_options.request), [self = shared_from_this()](const error_code &error, std::size_t /*bytes*/) {
             self->m_isSending = false;
@@ -137,6 +148,7 @@
     }
     m_received.append(m_buffer.data(), bytes);
     m_receivedBytes += bytes;
+    m_deadline.recordBytes(bytes, ProcessClock::now());
     parse();
     if (!m_isClosed) {
         read();
--- a/src/edge/clientconnection.h
+++ b/src/edge/clientconnection.h
@@ -2,6 +2,7 @@
 
 #include "edge/bufferbudget.h"
 #include "edge/ioloop.h"
+#include "edge/transferdeadline.h"
 
 #include <filbertmount/proxy/httpmessage.h>
 
@@ -54,6 +55,8 @@
     bool isHead = false;
     /** For the whole exchange, including the connect. */
     Duration timeout = std::chrono::seconds(1);
+    /** Extends the timeout while the response arrives. */
+    TransferProgress progress = {};
     Duration connectTimeout = std::chrono::milliseconds(300);
     /** A response with a longer body is rejected. */
     std::size_t maxBodyBytes = std::size_t{8} << 20U;
@@ -117,6 +120,8 @@
     void startParser();
     void finish(ExchangeEnd end, std::string reason = {});
     void startTimer(Duration timeout, ExchangeEnd end, const char *reason);
+    /** Ends the exchange at m_deadline, which moves while the response arrives. */
+    void startResponseTimer();
     /** Stores the idle timeout of a Keep-Alive header. */
     void parseKeepAlive(const Headers &headers);
 
@@ -131,7 +136,7 @@
     std::size_t m_receivedBytes = 0;
     std::array<char, 4096> m_buffer{};
     Instant m_sentAt{};
-    Instant m_deadline{};
+    TransferDeadline m_deadline;
     Instant m_idleSince{};
     std::optional<Duration> m_serverIdleTimeout;
     BufferReservation m_reservation;
--- a/src/edge/fleet.cpp
+++ b/src/edge/fleet.cpp
@@ -55,6 +55,11 @@
     m_dispatcher.setSenderHandler([this](const InstanceId &from) {
         m_socket.rememberSender(from);
     });
+    m_dispatcher.setHandler(Body::kFragment, [this](const InstanceId &from, const Body &body) {
+        if (const std::optional<std::string> envelope = m_fragments.add(from, body.fragment(), ProcessClock::now())) {
+            m_dispatcher.receive(*envelope);
+        }
+    });
     m_dispatcher.setHandler(Body::kRelay, [this](const InstanceId & /*from*/, const Body &body) {
         onRelay(body.relay());
     });
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "edge/messagefragments.h"
 #include "edge/peersocket.h"
 
 #include <filbertmount/membership/membershiptable.h>
@@ -81,6 +82,7 @@
     Metrics &m_metrics;
     MembershipTable m_membership;
     PeerDispatcher m_dispatcher;
+    FragmentJoiner m_fragments;
     PeerSocket m_socket;
     std::function<bool()> m_receiveFilter;
     Router *m_router = nullptr;
--- a/src/edge/peersocket.cpp
+++ b/src/edge/peersocket.cpp
@@ -1,5 +1,8 @@
 #include "edge/peersocket.h"
 
+#include "edge/messagefragments.h"
+
+#include <filbertmount/peer/peerdispatcher.h>
 #include <filbertmount/telemetry/log.h>
 
 #include <boost/asio/buffer.hpp>
@@ -125,11 +128,30 @@
 }
 
 void PeerSocket::sendTo(const Asio::ip::udp::endpoint &address, Wire::Envelope envelope)
+{
+    encode(envelope);
+    if (m_encoded.size() <= MaxDatagram || m_encoded.size() > MaxEnvelopeBytes) {
+        sendEncoded(address, envelope);
+        return;
+    }
+    for (Wire::Fragment &fragment : fragmentsOf(m_encoded, m_lastSequence)) {
+        Wire::Envelope part;
+        *part.add_bodies()->mutable_fragment() = std::move(fragment);
+        encode(part);
+        sendEncoded(address, part);
+    }
+}
+
+void PeerSocket::encode(Wire::Envelope &envelope)
 {
     envelope.set_cluster(m_options.cluster);
     envelope.set_from(m_options.self.value());
     envelope.set_sequence(++m_lastSequence);
     envelope.SerializeToString(&m_encoded);
+}
+
+void PeerSocket::sendEncoded(const Asio::ip::udp::endpoint &address, const Wire::Envelope &envelope)
+{
     error_code error;
     m_socket.send_to(Asio::buffer(m_encoded), address, 0, error);
     if (error) {
--- a/src/edge/peersocket.h
+++ b/src/edge/peersocket.h
@@ -18,7 +18,8 @@
 namespace Filbertmount {
 
 /**
- * Sends and receives envelopes as UDP datagrams. Runs on the IoLoop.
+ * Sends and receives envelopes as UDP datagrams. Runs on the IoLoop. An envelope that is too long for one is sent in fragments, which
+ * the receiver joins (see FragmentJoiner).
  *
  * All protocols between instances tolerate lost messages, so the socket does not retransmit.
  *
@@ -61,7 +62,12 @@
     void receive();
     /** Returns the address of @p peer; null if none is known. */
     [[nodiscard]] const Asio::ip::udp::endpoint *addressOf(const InstanceId &peer) const;
+    /** Sends @p envelope, in several datagrams if it is too long for one. */
     void sendTo(const Asio::ip::udp::endpoint &address, Wire::Envelope envelope);
+    /** Sets the sender's fields of @p envelope and encodes it into m_encoded. */
+    void encode(Wire::Envelope &envelope);
+    /** Sends m_encoded, the encoded @p envelope. */
+    void sendEncoded(const Asio::ip::udp::endpoint &address, const Wire::Envelope &envelope);
     /** Counts a message that cannot be sent, and logs the first one and then every UnsendableLogInterval-th. */
     void reportUnsendable(const Wire::Envelope &envelope, const error_code &error);
 
--- a/src/edge/singlelisting.h
+++ b/src/edge/singlelisting.h
@@ -39,10 +39,20 @@
     {
     }
 
-    /** @param onSuccess called after the listing was applied; may be empty */
+    /**
+     * Starts a listing, unless one that states as much is in progress: starting it again would never end if the response takes
+     * longer than the time between two calls.
+     * @param onSuccess called after the listing was applied; may be empty
+     */
     void read(bool mayBeStale, std::function<void()> onSuccess = {})
     {
+        if (m_isReading && (mayBeStale || m_isReadingCurrent)) {
+            m_onSuccess = onSuccess ? std::move(onSuccess) : std::move(m_onSuccess);
+            return;
+        }
         m_calls.cancel();
+        m_isReading = true;
+        m_isReadingCurrent = !mayBeStale;
         m_onSuccess = std::move(onSuccess);
         m_listing.read(mayBeStale, [this, mayBeStale](StoreResult<StatePage> result) {
             onListed(std::move(result), mayBeStale);
@@ -52,12 +62,20 @@
     /** Makes no further calls, and ignores the response to one in progress. */
     void cancel()
     {
+        m_isReading = false;
         m_calls.cancel();
     }
 
+    /** Whether a listing of the current state is in progress. */
+    [[nodiscard]] bool isReadingCurrent() const
+    {
+        return m_isReading && m_isReadingCurrent;
+    }
+
 private:
     void onListed(StoreResult<StatePage> result, bool mayBeStale)
     {
+        m_isReading = false;
         if (const auto *error = std::get_if<StoreError>(&result)) {
             logLine(LogLevel::Info,
                     "a single listing failed; asking other instances",
@@ -85,6 +103,8 @@
     StateMirror &m_mirror;
     ChangeHandler m_onChange;
     std::function<void()> m_onSuccess;
+    bool m_isReading = false;
+    bool m_isReadingCurrent = false;
 };
 
 } // namespace Filbertmount
--- a/src/edge/statereplicator.cpp
+++ b/src/edge/statereplicator.cpp
@@ -78,14 +78,23 @@
 }
 
 bool StateReplicator::isLarge(StateKind kind) const
+{
+    return kind == StateKind::Routes && routesWireBytes() > MaxPushBytes;
+}
+
+std::size_t StateReplicator::routesWireBytes() const
 {
     const std::shared_ptr<const RouteIndex> routes = m_mirror.routes();
-    return kind == StateKind::Routes && routes && wireSizeInRoutes(routes->routes()) > RoutesPerPush;
+    if (routes != m_measuredRoutes) {
+        m_measuredRoutes = routes;
+        m_measuredBytes = routes ? wireBytes(routes->routes()) : 0;
+    }
+    return m_measuredBytes;
 }
 
-void StateReplicator::setSingleListing(std::function<void(StateKind)> start)
+void StateReplicator::setLister(Lister lister)
 {
-    m_startSingleListing = std::move(start);
+    m_lister = std::move(lister);
 }
 
 void StateReplicator::sendDigest(StateKind kind, Instant now)
@@ -153,7 +162,11 @@
         return false;
     }
     const std::optional<RouteSetDelta> delta = computeDelta(m_deltaBaseRoutes->routes(), *routes);
-    if (!delta || wireSizeInRoutes(*delta) > RoutesPerPush) {
+    if (!delta) {
+        return false;
+    }
+    Wire::SharedObject object = toWire(change, *delta);
+    if (object.ByteSizeLong() > MaxPushBytes) {
         return false;
     }
     Wire::Envelope envelope;
@@ -161,7 +174,7 @@
     push.set_kind(*toWire(StateKind::Routes));
     setBase(push, base);
     setRevision(push, m_mirror.revision(StateKind::Routes).value_or(Revision()));
-    *push.add_objects() = toWire(change, *delta);
+    *push.add_objects() = std::move(object);
     m_fleet.sendToAll(envelope);
     return true;
 }
@@ -355,10 +368,12 @@
 void StateReplicator::fetchNewerState(StateKind kind, const InstanceId &from, const Wire::StateDigest &digest, Instant now)
 {
     KindState &state = m_kinds.at(kind);
-    if (!state.pulls.tryPull(now)) {
+    // A pull would share a slow link with the listing, and the result of both would arrive later.
+    const bool isListing = m_lister && m_lister->isRunning(kind);
+    if (isListing || !state.pulls.tryPull(now)) {
         return;
     }
-    if (!digest.large() || !m_startSingleListing || state.wasLastFetchListing) {
+    if (!digest.large() || !m_lister || state.wasLastFetchListing) {
         state.wasLastFetchListing = false;
         sendPull(kind, from, positionOf(digest));
         return;
@@ -366,7 +381,7 @@
     state.wasLastFetchListing = true;
     // Defers pulls from other instances while the store's response is pending.
     state.pulls.recordPart(now);
-    m_startSingleListing(kind);
+    m_lister->start(kind);
 }
 
 void StateReplicator::recordReceived(StateKind kind, Instant now)
--- a/src/edge/statereplicator.h
+++ b/src/edge/statereplicator.h
@@ -36,13 +36,16 @@
 public:
     using ChangeHandler = std::function<void(const MirrorChanges &)>;
 
+    /** Lists one kind from the store, for states that are too large to be sent to all instances (see SingleListing). */
+    struct Lister {
+        std::function<void(StateKind)> start;
+        /** Whether a listing is in progress. */
+        std::function<bool(StateKind)> isRunning;
+    };
+
     StateReplicator(StateMirror &mirror, Fleet &fleet, const StateReplicatorOptions &options, ChangeHandler onChange);
 
-    /**
-     * Sets the function that starts a single listing of a kind (see SingleListing), for states that are too large to be sent to
-     * all instances.
-     */
-    void setSingleListing(std::function<void(StateKind)> start);
+    void setLister(Lister lister);
 
     /**
      * Records that the store confirmed the state, and sends the changes in its response and a digest to the other instances.
@@ -107,6 +110,8 @@
     void sendChanges(StateKind kind, Revision base, const std::vector<StateChange> &changes, Instant now);
     /** Whether the state of @p kind is too large to be sent to all instances, so that each one reads it from the store itself. */
     [[nodiscard]] bool isLarge(StateKind kind) const;
+    /** Returns how many bytes the routes in force take in messages; 0 if there are none. */
+    [[nodiscard]] std::size_t routesWireBytes() const;
     /** Starts a single listing or a pull of the state that @p from announced by @p digest, unless the backoff defers it. */
     void fetchNewerState(StateKind kind, const InstanceId &from, const Wire::StateDigest &digest, Instant now);
     /**
@@ -157,10 +162,13 @@
     StateMirror &m_mirror;
     Fleet &m_fleet;
     ChangeHandler m_onChange;
-    std::function<void(StateKind)> m_startSingleListing;
+    std::optional<Lister> m_lister;
     std::map<StateKind, KindState> m_kinds;
     /** The last routes that were sent to or received from the other instances; deltas are computed against them. */
     std::shared_ptr<const RouteIndex> m_deltaBaseRoutes;
+    /** The routes that routesWireBytes() measured last, and the result. */
+    mutable std::shared_ptr<const RouteIndex> m_measuredRoutes;
+    mutable std::size_t m_measuredBytes = 0;
     std::vector<InstanceId> m_coordinators;
     std::uint64_t m_memberVersion = 0;
     /** Counts pulls, to spread them over the members or the coordinators. */
--- a/src/edge/stateservice.h
+++ b/src/edge/stateservice.h
@@ -74,9 +74,14 @@
 
     void start()
     {
-        m_replicator.setSingleListing([this](StateKind kind) {
-            (kind == StateKind::Routes ? m_routesListing : m_upstreamsListing).read(false);
-        });
+        m_replicator.setLister({.start =
+                                    [this](StateKind kind) {
+                                        listingOf(kind).read(false);
+                                    },
+                                .isRunning =
+                                    [this](StateKind kind) {
+                                        return listingOf(kind).isReadingCurrent();
+                                    }});
         m_routesListing.read(true);
         m_upstreamsListing.read(true);
         const Instant now = ProcessClock::now();
@@ -158,8 +163,17 @@
         listIfDue(m_upstreamsConfirmation, m_upstreamsListing, StateKind::Upstreams, now);
     }
 
+    /** Of the kinds whose state may be large; evacuations are not. */
+    SingleListing<Protocol> &listingOf(StateKind kind)
+    {
+        return kind == StateKind::Routes ? m_routesListing : m_upstreamsListing;
+    }
+
     void listIfDue(FirstListings &first, SingleListing<Protocol> &listing, StateKind kind, Instant now)
     {
+        if (listing.isReadingCurrent()) {
+            return;
+        }
         if (first.isDue(m_mirror.startConfirmation().certainty(kind) == StateCertainty::Current, now)) {
             // The digest confirms the state of the others that have just started, so that few of them list it.
             listing.read(false, [this, kind] {
--- a/src/edge/statewire.cpp
+++ b/src/edge/statewire.cpp
@@ -3,7 +3,6 @@
 #include "peer/wiretime.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace Filbertmount {
 
@@ -114,28 +113,44 @@
     return account;
 }
 
-/** Returns about how many bytes @p account takes in a message. */
-std::size_t wireBytes(const ClientAccount &account)
+void write(const ServiceAccess &service, Wire::SharedService &wire)
 {
-    constexpr std::size_t fixedBytes = 32;
-    constexpr std::size_t bytesPerDigest = 34;
-    std::size_t bytes = fixedBytes + account.name.value().size() + bytesPerDigest * account.keyDigests.size();
-    for (const Region &region : account.allowedRegions) {
-        bytes += region.value().size() + 2;
-    }
-    return bytes;
+    wire.set_name(service.name.value());
+    wire.set_health_path(service.healthPath);
+    wire.set_max_connections(static_cast<std::uint32_t>(service.maxConnections));
+    wire.set_warmup_us(toMicroseconds(service.warmup));
+    wire.set_warmup_rate(service.warmupRate);
 }
 
-std::size_t inRoutes(std::size_t accountBytes)
+/** Measures how many bytes items of one kind take in a message. */
+template<class WireItem>
+class WireSize
 {
-    return (accountBytes + AccountBytesPerRoute - 1) / AccountBytesPerRoute;
-}
+public:
+    template<class Item>
+    std::size_t operator()(const Item &item)
+    {
+        // Tag and length.
+        constexpr std::size_t prefixBytes = 6;
+        // Cleared instead of created anew, which would allocate for each item.
+        m_wire.Clear();
+        write(item, m_wire);
+        return m_wire.ByteSizeLong() + prefixBytes;
+    }
 
-std::size_t wireBytes(const std::vector<ClientAccount> &accounts)
+private:
+    WireItem m_wire;
+};
+
+template<class WireItem, class Item>
+std::size_t wireBytes(const std::vector<Item> &items)
 {
-    return std::accumulate(accounts.begin(), accounts.end(), std::size_t{0}, [](std::size_t sum, const ClientAccount &account) {
-        return sum + wireBytes(account);
-    });
+    WireSize<WireItem> sizeOf;
+    std::size_t bytes = 0;
+    for (const Item &item : items) {
+        bytes += sizeOf(item);
+    }
+    return bytes;
 }
 
 void write(const RouteSet &routes, Wire::SharedRouteSet &wire)
@@ -145,12 +160,7 @@
         write(route, *wire.add_routes());
     }
     for (const ServiceAccess &service : routes.services) {
-        Wire::SharedService &item = *wire.add_services();
-        item.set_name(service.name.value());
-        item.set_health_path(service.healthPath);
-        item.set_max_connections(static_cast<std::uint32_t>(service.maxConnections));
-        item.set_warmup_us(toMicroseconds(service.warmup));
-        item.set_warmup_rate(service.warmupRate);
+        write(service, *wire.add_services());
     }
     wire.set_max_header_bytes(routes.limits.maxHeaderBytes);
     wire.set_max_body_bytes(routes.limits.maxBodyBytes);
@@ -258,16 +268,15 @@
         : m_whole(whole)
     {
         startPiece();
-        m_pieces.back().services = whole.services;
     }
 
-    /** Returns the piece that has room for @p size routes or as many bytes of accounts. */
-    RouteSet &pieceFor(std::size_t size)
+    /** Returns a piece that has room for @p bytes. */
+    RouteSet &pieceFor(std::size_t bytes)
     {
-        if (m_size > 0 && m_size + size > RoutesPerPush) {
+        if (m_bytes > 0 && m_bytes + bytes > MaxPushBytes) {
             startPiece();
         }
-        m_size += size;
+        m_bytes += bytes;
         return m_pieces.back();
     }
 
@@ -279,7 +288,7 @@
 private:
     void startPiece()
     {
-        m_size = 0;
+        m_bytes = 0;
         m_pieces.push_back({.version = m_whole.version,
                             .routes = {},
                             .services = {},
@@ -289,20 +298,48 @@
 
     const RouteSet &m_whole;
     std::vector<RouteSet> m_pieces;
-    /** Of the last piece, in routes. */
-    std::size_t m_size = 0;
+    /** Of the last piece. */
+    std::size_t m_bytes = 0;
 };
 
-/** Splits a route set into pieces of at most the size of RoutesPerPush routes; the first piece also has the services. */
+/** Splits an account whose keys take too many bytes for one message; each part has some of them. */
+std::vector<ClientAccount> splitKeys(const ClientAccount &account)
+{
+    constexpr std::size_t bytesPerDigest = sizeof(Sha256Digest) + 2;
+    constexpr std::size_t digestsPerPart = MaxPushBytes / 2 / bytesPerDigest;
+    const std::size_t keys = account.keyDigests.size();
+    std::vector<ClientAccount> parts;
+    for (std::size_t first = 0; first == 0 || first < keys; first += digestsPerPart) {
+        const auto begin = account.keyDigests.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto end = begin + static_cast<std::ptrdiff_t>(std::min(digestsPerPart, keys - first));
+        parts.push_back({.name = account.name,
+                         .keyDigests = {begin, end},
+                         .rank = account.rank,
+                         .rate = account.rate,
+                         .burst = account.burst,
+                         .allowedRegions = account.allowedRegions});
+    }
+    return parts;
+}
+
+/** Splits a route set into pieces of at most MaxPushBytes, unless a single item is longer. */
 std::vector<StateChange> splitIntoPieces(const StateChange &change)
 {
     const auto &routes = std::get<RouteSet>(change.object.value);
     PieceWriter writer(routes);
+    WireSize<Wire::SharedService> serviceBytes;
+    for (const ServiceAccess &service : routes.services) {
+        writer.pieceFor(serviceBytes(service)).services.push_back(service);
+    }
+    WireSize<Wire::SharedRoute> routeBytes;
     for (const ForwardRoute &route : routes.routes) {
-        writer.pieceFor(1).routes.push_back(route);
+        writer.pieceFor(routeBytes(route)).routes.push_back(route);
     }
+    WireSize<Wire::SharedAccount> accountBytes;
     for (const ClientAccount &account : routes.accounts) {
-        writer.pieceFor(inRoutes(wireBytes(account))).accounts.push_back(account);
+        for (ClientAccount &part : splitKeys(account)) {
+            writer.pieceFor(accountBytes(part)).accounts.push_back(std::move(part));
+        }
     }
     std::vector<StateChange> pieces;
     for (RouteSet &piece : writer.take()) {
@@ -314,18 +351,10 @@
 
 } // namespace
 
-std::size_t wireSizeInRoutes(const RouteSet &routes)
+std::size_t wireBytes(const RouteSet &routes)
 {
-    return routes.routes.size() + inRoutes(wireBytes(routes.accounts));
-}
-
-std::size_t wireSizeInRoutes(const RouteSetDelta &delta)
-{
-    std::size_t removedBytes = 0;
-    for (const AccountName &name : delta.removedAccounts) {
-        removedBytes += name.value().size() + 2;
-    }
-    return wireSizeInRoutes(delta.changes) + delta.removed.size() + inRoutes(removedBytes);
+    return wireBytes<Wire::SharedService>(routes.services) + wireBytes<Wire::SharedRoute>(routes.routes)
+        + wireBytes<Wire::SharedAccount>(routes.accounts);
 }
 
 std::vector<Wire::StatePush> toPushes(StateKind kind, std::span<const StateChange> objects)
@@ -340,16 +369,40 @@
         }
         return pushes;
     }
-    std::vector<Wire::StatePush> pushes(std::max<std::size_t>(1, (objects.size() + ObjectsPerPush - 1) / ObjectsPerPush));
-    for (Wire::StatePush &push : pushes) {
-        push.set_kind(*toWire(kind));
-    }
-    for (std::size_t position = 0; position < objects.size(); ++position) {
-        *pushes[position / ObjectsPerPush].add_objects() = toWire(objects[position]);
+    std::vector<Wire::StatePush> pushes(1);
+    pushes.back().set_kind(*toWire(kind));
+    std::size_t bytes = 0;
+    for (const StateChange &change : objects) {
+        Wire::SharedObject object = toWire(change);
+        const std::size_t objectBytes = object.ByteSizeLong();
+        const bool isFull = pushes.back().objects_size() == ObjectsPerPush || bytes + objectBytes > MaxPushBytes;
+        if (isFull && pushes.back().objects_size() > 0) {
+            pushes.emplace_back().set_kind(*toWire(kind));
+            bytes = 0;
+        }
+        bytes += objectBytes;
+        *pushes.back().add_objects() = std::move(object);
     }
     return pushes;
 }
 
+namespace {
+
+/** Adds the accounts of the next piece, of which the first may continue the last account of @p whole. */
+void appendAccounts(std::vector<ClientAccount> &whole, std::vector<ClientAccount> piece)
+{
+    for (ClientAccount &account : piece) {
+        if (!whole.empty() && whole.back().name == account.name) {
+            std::vector<Sha256Digest> &digests = whole.back().keyDigests;
+            digests.insert(digests.end(), account.keyDigests.begin(), account.keyDigests.end());
+        } else {
+            whole.push_back(std::move(account));
+        }
+    }
+}
+
+} // namespace
+
 std::vector<StateObject> joinPieces(std::vector<StateObject> pieces)
 {
     std::vector<StateObject> whole;
@@ -360,11 +413,15 @@
             && std::get<RouteSet>(whole.back().value).version == routes->version;
         if (!continues) {
             whole.push_back(std::move(piece));
+            if (auto *first = std::get_if<RouteSet>(&whole.back().value)) {
+                appendAccounts(first->accounts, std::exchange(first->accounts, {}));
+            }
             continue;
         }
         RouteSet &target = std::get<RouteSet>(whole.back().value);
+        std::move(routes->services.begin(), routes->services.end(), std::back_inserter(target.services));
         std::move(routes->routes.begin(), routes->routes.end(), std::back_inserter(target.routes));
-        std::move(routes->accounts.begin(), routes->accounts.end(), std::back_inserter(target.accounts));
+        appendAccounts(target.accounts, std::move(routes->accounts));
     }
     return whole;
 }
--- a/src/edge/statewire.h
+++ b/src/edge/statewire.h
@@ -40,20 +40,19 @@
 /** Limit on objects per message; an upstream takes about 110 bytes. */
 inline constexpr std::size_t ObjectsPerPush = 40;
 
-/** Limit on routes per message; a route takes about 100 bytes. */
-inline constexpr std::size_t RoutesPerPush = 300;
-/** Bytes of accounts that take the place of one route in a message. */
-inline constexpr std::size_t AccountBytesPerRoute = 100;
+/**
+ * Limit on the bytes of a message. Only a single object or route that is longer by itself exceeds it, and is sent in fragments
+ * (see fragmentsOf()).
+ */
+inline constexpr std::size_t MaxPushBytes = 30'000;
 
-/** Returns how many routes take as much space in a message as the routes and accounts of @p routes. */
-std::size_t wireSizeInRoutes(const RouteSet &routes);
-/** The same for the changed and removed routes and accounts of @p delta. */
-std::size_t wireSizeInRoutes(const RouteSetDelta &delta);
+/** Returns how many bytes @p routes take in messages. */
+std::size_t wireBytes(const RouteSet &routes);
 
 /**
- * Splits @p objects into messages that fit into a datagram; without objects, returns one empty message. Of several versions of
- * the routes only the last is sent; a route set that is too long for a message is split into pieces, which are objects of the
- * same name and version.
+ * Splits @p objects into messages of a limited size; without objects, returns one empty message. Of several versions of the routes
+ * only the last is sent; a route set that is too long for a message is split into pieces, which are objects of the same name and
+ * version. An account with many keys may be in several pieces, each with some of the keys.
  */
 std::vector<Wire::StatePush> toPushes(StateKind kind, std::span<const StateChange> objects);
 
--- a/src/edge/storecalls.cpp
+++ b/src/edge/storecalls.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+// A link that is slower than this, with all that shares it, counts as broken.
+constexpr std::size_t MinTransferBytesPerSecond = std::size_t{32} << 10U;
+
 std::string serializeRequest(const StoreRequest &request, const Tcp::endpoint &store)
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + store.address().to_string() + ":"
@@ -46,7 +49,9 @@
         cancel();
         m_connection = std::make_shared<ClientConnection>(m_loop, m_store);
     }
-    m_connection->exchange({.request = serializeRequest(request, m_store), .timeout = timeout},
+    m_connection->exchange({.request = serializeRequest(request, m_store),
+                            .timeout = timeout,
+                            .progress = {.minBytesPerSecond = MinTransferBytesPerSecond}},
                            [this, operation, handler = std::move(handler)](ExchangeResult result) {
                                countCall(operation, result);
                                const bool hasResponded = result.end == ExchangeEnd::Responded;
--- a/src/edge/storecalls.h
+++ b/src/edge/storecalls.h
@@ -20,7 +20,7 @@
      * state that readers send to other instances.
      */
     Duration watchWait = std::chrono::milliseconds(700);
-    /** Timeout of a call; a watch may take this much longer than its wait. */
+    /** Longest time until the response begins and between its parts; a watch may take this much longer than its wait. */
     Duration callTimeout = std::chrono::milliseconds(300);
     /**
      * Pause after a watch that returned changes. Many upstreams often change in quick succession, and each call is charged
--- a/tests/edge/clientconnectiontest.cpp
+++ b/tests/edge/clientconnectiontest.cpp
@@ -67,6 +67,44 @@
 
 } // namespace
 
+// A listing of the store has a timeout of 300 ms, so that one of 476 KB was cut off over each link with 10 Mbit/s.
+TEST_CASE("client connection: a long response may take longer than the timeout while it arrives")
+{
+    constexpr std::size_t partBytes = 2000;
+    const struct {
+        const char *name;
+        TransferProgress progress;
+        Duration pause;
+        ExchangeEnd end;
+    } rows[] = {
+        {"fixed timeout", {}, 30ms, ExchangeEnd::TimedOut},
+        {"fast enough", {.minBytesPerSecond = 10'000, .stallTimeout = 150ms}, 30ms, ExchangeEnd::Responded},
+        {"slower than the lowest rate", {.minBytesPerSecond = 200'000, .stallTimeout = 150ms}, 30ms, ExchangeEnd::TimedOut},
+        {"stalls", {.minBytesPerSecond = 100, .stallTimeout = 150ms}, 400ms, ExchangeEnd::TimedOut},
+    };
+    for (const auto &row : rows) {
+        CAPTURE(row.name);
+        IoLoop loop;
+        const std::string text = response("1", std::string(20 * partBytes, 'x'));
+        ScriptedServer server(loop, [&](ScriptedPeer &peer) {
+            sendSlowly(peer.shared_from_this(), text, partBytes, row.pause);
+        });
+        auto connection = std::make_shared<ClientConnection>(loop, server.endpoint());
+        ClientExchangeOptions options = request("1");
+        options.timeout = 200ms;
+        options.progress = row.progress;
+        std::optional<ExchangeResult> result;
+        connection->exchange(std::move(options), [&](ExchangeResult ended) {
+            result = std::move(ended);
+        });
+        REQUIRE(runUntil(loop, [&] {
+            return result.has_value();
+        }));
+        CHECK(result->end == row.end);
+        connection->close();
+    }
+}
+
 TEST_CASE("client connection: only a complete response to its own request is accepted")
 {
     struct Row {
--- a/tests/edge/singlelistingtest.cpp
+++ b/tests/edge/singlelistingtest.cpp
@@ -68,3 +68,39 @@
         CHECK(calls.size() == 1);
     }
 }
+
+// On a link that takes longer for the state than the time between two digests, each digest started the listing again, so that
+// none ever ended.
+TEST_CASE("single listing: a listing that takes longer than its timeout ends, also when it is requested again meanwhile")
+{
+    IoLoop loop{1};
+    int calls = 0;
+    constexpr std::size_t partBytes = 3000;
+    const std::string text = listing(1, R"(,"unused":")" + std::string(10 * partBytes, 'x') + R"(")");
+    ScriptedServer server(loop, [&](ScriptedPeer &peer) {
+        if (peer.received.find("\r\n\r\n") != std::string::npos) {
+            ++calls;
+            peer.received.clear();
+            sendSlowly(peer.shared_from_this(), text, partBytes, 40ms);
+        }
+    });
+    StateMirror mirror;
+    Metrics metrics;
+    SingleListing<Platform::StoreProtocol> routes(loop,
+                                                  Platform::StoreProtocol(),
+                                                  StateKind::Routes,
+                                                  {.store = server.endpoint(), .callTimeout = 200ms},
+                                                  mirror,
+                                                  metrics,
+                                                  [](const MirrorChanges & /*changes*/) {});
+    routes.read(false);
+    const PeriodicTask digests(loop, 50ms, [&] {
+        if (!mirror.routes()) {
+            routes.read(false);
+        }
+    });
+    CHECK(runUntil(loop, [&] {
+        return mirror.routes() != nullptr;
+    }));
+    CHECK(calls == 1);
+}
--- a/tests/edge/statewiretest.cpp
+++ b/tests/edge/statewiretest.cpp
@@ -82,6 +82,47 @@
     }
 }
 
+// Messages were bounded by the number of routes, so that those with long names fitted into no datagram and were never sent.
+TEST_CASE("state wire: messages are bounded by their bytes, however long the names are")
+{
+    constexpr std::size_t largestMessage = MaxPushBytes + 2000;
+    RouteSet routes{.version = RouteSetVersion(5), .routes = {}, .requiresKey = true};
+    for (std::size_t number = 0; number < 400; ++number) {
+        const std::string name = std::to_string(number) + std::string(200, 'n');
+        routes.routes.push_back({.name = name,
+                                 .host = std::string(200, 'h'),
+                                 .pathPrefix = "/" + name + "/",
+                                 .targets = {{.service = ServiceName(std::string(100, 's')), .weight = 1}}});
+        routes.services.push_back({.name = ServiceName(name), .healthPath = "/" + name});
+    }
+    routes.accounts.push_back({.name = AccountName("large")});
+    for (std::size_t number = 0; number < 5000; ++number) {
+        routes.accounts[0].keyDigests.push_back(sha256(std::to_string(number)));
+    }
+    routes.accounts.push_back({.name = AccountName("small"), .keyDigests = {sha256("s")}});
+    const std::vector<StateChange> whole{{.object = {.name = "main", .revision = Revision(3), .value = routes}}};
+    std::vector<StateObject> pieces;
+    for (const Wire::StatePush &push : toPushes(StateKind::Routes, whole)) {
+        CHECK(push.ByteSizeLong() <= largestMessage);
+        pieces.push_back(fromWire(push.objects(0), StateKind::Routes).value().object);
+    }
+    CHECK(pieces.size() * MaxPushBytes < 3 * wireBytes(routes));
+    const std::vector<StateObject> joined = joinPieces(std::move(pieces));
+    REQUIRE(joined.size() == 1);
+    const auto &received = std::get<RouteSet>(joined[0].value);
+    CHECK(received.routes == routes.routes);
+    CHECK(received.accounts == routes.accounts);
+    CHECK(received.services.size() == routes.services.size());
+
+    std::vector<StateChange> changes = upstreams(80);
+    for (StateChange &change : changes) {
+        std::get<UpstreamRecord>(change.object.value).address = std::string(2000, 'a');
+    }
+    for (const Wire::StatePush &push : toPushes(StateKind::Upstreams, changes)) {
+        CHECK(push.ByteSizeLong() <= largestMessage);
+    }
+}
+
 // A configuration of 10,000 accounts takes 1.8 MB, and a part of it must not be taken for the whole.
 TEST_CASE("state wire: accounts are split into messages of bounded size and joined again")
 {
--- a/tests/support/loopserver.h
+++ b/tests/support/loopserver.h
@@ -3,6 +3,7 @@
 #include "edge/ioloop.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -79,6 +80,21 @@
     std::array<char, 4096> m_buffer{};
 };
 
+/** Sends @p text as over a slow link, in parts of @p partBytes with @p pause between them. */
+inline void sendSlowly(const std::shared_ptr<ScriptedPeer> &peer, std::string text, std::size_t partBytes, Duration pause)
+{
+    peer->send(text.substr(0, partBytes));
+    if (text.size() <= partBytes) {
+        return;
+    }
+    auto timer = std::make_shared<Asio::steady_timer>(peer->socket.get_executor(), pause);
+    timer->async_wait([timer, peer, text = std::move(text), partBytes, pause](const error_code &error) {
+        if (!error && !peer->isClosedByClient && peer->socket.is_open()) {
+            sendSlowly(peer, text.substr(partBytes), partBytes, pause);
+        }
+    });
+}
+
 /** A TCP server on the loopback interface; the test writes its responses as raw bytes. */
 class ScriptedServer
 {
