Let the body of a request take longer than the limit for its header while it arrives

What callers would see: a body within max_body_bytes that takes longer than header_timeout_s over a slow link was answered 408. The limit is documented as one for the header.

Change: the deadline of a session moves with each part of a body, at 16 KiB/s or more and with no pause longer than the limit for the header. The new test's first row fails without it (408).

--- a/src/edge/serversession.cpp
+++ b/src/edge/serversession.cpp
@@ -14,6 +14,8 @@
 namespace Http = boost::beast::http;
 
 // Requests of one connection that are in progress at the same time.
+// A caller that sends a body more slowly than this is not served.
+constexpr std::size_t MinBodyBytesPerSecond = std::size_t{16} << 10U;
 constexpr std::size_t MaxPipelined = 16;
 // Bytes of later requests that are buffered while earlier ones are in progress.
 constexpr std::size_t MaxReadAhead = 64U << 10U;
@@ -129,6 +131,9 @@
     }
     if (!m_isLingering && !m_isEnding) {
         m_received.append(m_buffer.data(), bytes);
+        if (m_parser && m_parser->is_header_done()) {
+            m_readDeadline.recordBytes(bytes, ProcessClock::now());
+        }
         parse();
     }
     read();
@@ -305,12 +310,22 @@
 {
     const CallerLimits limits = m_handler.limits();
     const bool isReadingRequest = m_parser.has_value();
-    m_timer.start(isReadingRequest ? limits.headerTimeout : limits.idleTimeout, [weak = weak_from_this(), isReadingRequest] {
+    const Duration timeout = isReadingRequest ? limits.headerTimeout : limits.idleTimeout;
+    m_readDeadline = TransferDeadline(ProcessClock::now() + timeout,
+                                      {.minBytesPerSecond = MinBodyBytesPerSecond, .stallTimeout = limits.headerTimeout});
+    awaitReadDeadline(isReadingRequest);
+}
+
+void ServerSession::awaitReadDeadline(bool isReadingRequest)
+{
+    m_timer.start(m_readDeadline.time() - ProcessClock::now(), [weak = weak_from_this(), isReadingRequest] {
         const std::shared_ptr<ServerSession> self = weak.lock();
         if (!self || self->m_isClosed || !self->m_exchanges.empty()) {
             return;
         }
-        if (isReadingRequest && !self->m_isEnding) {
+        if (ProcessClock::now() < self->m_readDeadline.time()) {
+            self->awaitReadDeadline(isReadingRequest);
+        } else if (isReadingRequest && !self->m_isEnding) {
             self->refuse(408, "the request was not sent in time");
         } else {
             self->close();
--- a/src/edge/serversession.h
+++ b/src/edge/serversession.h
@@ -2,6 +2,7 @@
 
 #include "edge/bufferbudget.h"
 #include "edge/ioloop.h"
+#include "edge/transferdeadline.h"
 
 #include <filbertmount/proxy/httpmessage.h>
 #include <filbertmount/routes/routeset.h>
@@ -139,12 +140,15 @@
     void onWritten(const error_code &error);
     /** Starts the timeout for the rest of the request, or the idle timeout between requests. */
     void startTimer();
+    /** Ends the connection at m_readDeadline, which moves while a body arrives. */
+    void awaitReadDeadline(bool isReadingRequest);
     /** Shuts down the sending side and closes the connection when the client has closed it, or after a short time. */
     void lingerAndClose();
 
     RequestHandler &m_handler;
     Tcp::socket m_socket;
     OneShotTimer m_timer;
+    TransferDeadline m_readDeadline;
     std::string m_client;
     std::optional<Parser> m_parser;
     std::string m_received;
--- a/tests/edge/serversessiontest.cpp
+++ b/tests/edge/serversessiontest.cpp
@@ -197,6 +197,37 @@
     CHECK(fixture.handler.targets.empty());
 }
 
+// The limit on the time for a header ended each body that takes longer over a slow link.
+TEST_CASE("server session: a body may take longer than the limit for the header while it arrives")
+{
+    const struct {
+        const char *name;
+        std::size_t partBytes;
+        Duration pause;
+        bool isServed;
+    } rows[] = {
+        {"a long body over a slow link", 4000, 50ms, true},
+        {"a few bytes at a time", 10, 50ms, false},
+        {"long pauses", 4000, 400ms, false},
+    };
+    for (const auto &row : rows) {
+        CAPTURE(row.name);
+        Fixture fixture;
+        fixture.handler.callerLimits.maxBodyBytes = 100'000;
+        const std::size_t bytes = 12 * row.partBytes;
+        fixture.client->send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n");
+        sendSlowly(fixture.client, std::string(bytes, 'x'), row.partBytes, row.pause);
+        if (row.isServed) {
+            CHECK(runUntil(fixture.loop, [&] {
+                return fixture.handler.targets.size() == 1;
+            }));
+        } else {
+            CHECK(fixture.waitForText("HTTP/1.1 408"));
+            CHECK(fixture.handler.targets.empty());
+        }
+    }
+}
+
 TEST_CASE("server session: while draining, started requests are answered before the connection is closed")
 {
     Fixture fixture;
