Split requests by weights in a time that does not depend on their size

Cause: after a change of the targets, SplitSelector drew a number up to the sum of the weights and took that many steps, to start at a random point. By reading: the loop in sequenceOf() is the only one that depends on the weights, and the sum itself overflowed an int.

Change: each choice between a target and those that follow it diffuses its rounding error, and starts with a random one. That takes a step per target. Weights are numbers of any size, in messages between instances too; earlier versions get them rounded.

Test: routesettest, "only the proportions of the weights count".

--- a/include/filbertmount/routes/routeset.h
+++ b/include/filbertmount/routes/routeset.h
@@ -17,8 +17,8 @@
 /** A service that receives a share of a route's requests. */
 struct ForwardTarget {
     ServiceName service;
-    /** Share relative to the sum of the weights of the route's targets; above 0. */
-    int weight = 1;
+    /** Share relative to the sum of the weights of the route's targets; finite and above 0. */
+    double weight = 1;
 
     bool operator==(const ForwardTarget &) const = default;
 };
--- a/src/edge/statewire.cpp
+++ b/src/edge/statewire.cpp
@@ -3,6 +3,8 @@
 #include "peer/wiretime.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace Filbertmount {
 
@@ -32,6 +34,13 @@
             .incarnation = Incarnation(wire.incarnation())};
 }
 
+std::uint32_t wholeWeight(double weight)
+{
+    // The largest that earlier versions of this program accept.
+    constexpr double highest = std::numeric_limits<std::int32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp(std::round(weight), 1.0, highest));
+}
+
 void write(const ForwardRoute &route, Wire::SharedRoute &wire)
 {
     wire.set_name(route.name);
@@ -45,7 +54,8 @@
     for (const ForwardTarget &target : route.targets) {
         Wire::SharedTarget &item = *wire.add_targets();
         item.set_service(target.service.value());
-        item.set_weight(static_cast<std::uint32_t>(target.weight));
+        item.set_weight(wholeWeight(target.weight));
+        item.set_exact_weight(target.weight);
     }
     wire.set_key_exempt(route.isKeyExempt);
     for (const Region &region : route.allowedRegions) {
@@ -59,6 +69,12 @@
     return std::vector<Id>(wire.begin(), wire.end());
 }
 
+double weightOf(const Wire::SharedTarget &target)
+{
+    const double weight = target.has_exact_weight() ? target.exact_weight() : target.weight();
+    return std::isfinite(weight) && weight > 0 ? weight : 1;
+}
+
 ForwardRoute read(const Wire::SharedRoute &wire)
 {
     ForwardRoute route{.name = wire.name(),
@@ -70,7 +86,7 @@
                        .rank = static_cast<int>(wire.rank()),
                        .maxAttempts = static_cast<int>(wire.max_attempts())};
     for (const Wire::SharedTarget &target : wire.targets()) {
-        route.targets.push_back({.service = ServiceName(target.service()), .weight = static_cast<int>(target.weight())});
+        route.targets.push_back({.service = ServiceName(target.service()), .weight = weightOf(target)});
     }
     route.isKeyExempt = wire.key_exempt();
     route.allowedRegions = readNames<Region>(wire.allowed_regions());
--- a/src/routes/routeset.cpp
+++ b/src/routes/routeset.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 
 #include <algorithm>
 
@@ -46,7 +47,7 @@
                     route.isRepeatable ? " repeatable" : "",
                     route.isKeyExempt ? " exempt" : "");
     for (const ForwardTarget &target : route.targets) {
-        absl::StrAppend(&text, "\n", target.weight, " ", target.service.value());
+        absl::StrAppendFormat(&text, "\n%.17g %s", target.weight, target.service.value());
     }
     return stableHash(text);
 }
--- a/src/routes/splitselector.cpp
+++ b/src/routes/splitselector.cpp
@@ -3,17 +3,20 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
-#include <numeric>
 
 namespace Filbertmount {
 
 namespace {
 
-int totalWeight(const std::vector<ForwardTarget> &targets)
+// A target gets the request once more than half of one is owed to it.
+constexpr double OwedForRequest = 0.5;
+
+double largestWeight(const std::vector<ForwardTarget> &targets)
 {
-    return std::accumulate(targets.begin(), targets.end(), 0, [](int sum, const ForwardTarget &target) {
-        return sum + target.weight;
+    const auto largest = std::max_element(targets.begin(), targets.end(), [](const ForwardTarget &left, const ForwardTarget &right) {
+        return left.weight < right.weight;
     });
+    return largest->weight;
 }
 
 } // namespace
@@ -23,31 +26,28 @@
 {
 }
 
-SplitSelector::Sequence &SplitSelector::sequenceOf(const ForwardRoute &route)
+std::vector<SplitSelector::Choice> SplitSelector::choicesFor(const std::vector<ForwardTarget> &targets)
 {
-    Sequence &sequence = m_sequences[route.name];
-    if (sequence.targets == route.targets) {
-        return sequence;
+    std::uniform_real_distribution<double> error(-OwedForRequest, OwedForRequest);
+    // The sum of the weights themselves may exceed the range of a double.
+    const double largest = largestWeight(targets);
+    std::vector<Choice> choices(targets.size() - 1);
+    double following = targets.back().weight / largest;
+    for (std::size_t position = choices.size(); position-- > 0;) {
+        const double weight = targets[position].weight / largest;
+        following += weight;
+        choices[position] = {.share = following > 0 ? weight / following : 0, .owed = error(m_random)};
     }
-    sequence = {.targets = route.targets, .currentWeights = std::vector<int>(route.targets.size(), 0)};
-    std::uniform_int_distribution<int> offset(0, std::max(0, totalWeight(route.targets) - 1));
-    for (int steps = offset(m_random); steps > 0; --steps) {
-        advance(sequence);
-    }
-    return sequence;
+    return choices;
 }
 
-std::size_t SplitSelector::advance(Sequence &sequence)
+SplitSelector::Sequence &SplitSelector::sequenceOf(const ForwardRoute &route)
 {
-    std::size_t chosen = 0;
-    for (std::size_t position = 0; position < sequence.targets.size(); ++position) {
-        sequence.currentWeights[position] += sequence.targets[position].weight;
-        if (sequence.currentWeights[position] > sequence.currentWeights[chosen]) {
-            chosen = position;
-        }
+    Sequence &sequence = m_sequences[route.name];
+    if (sequence.targets != route.targets) {
+        sequence = {.targets = route.targets, .choices = choicesFor(route.targets)};
     }
-    sequence.currentWeights[chosen] -= totalWeight(sequence.targets);
-    return chosen;
+    return sequence;
 }
 
 const ServiceName &SplitSelector::next(const ForwardRoute &route)
@@ -55,7 +55,16 @@
     if (route.targets.size() == 1) {
         return route.targets.front().service;
     }
-    return route.targets[advance(sequenceOf(route))].service;
+    std::vector<Choice> &choices = sequenceOf(route).choices;
+    for (std::size_t position = 0; position < choices.size(); ++position) {
+        Choice &choice = choices[position];
+        choice.owed += choice.share;
+        if (choice.owed >= OwedForRequest) {
+            choice.owed -= 1;
+            return route.targets[position].service;
+        }
+    }
+    return route.targets.back().service;
 }
 
 void SplitSelector::retain(const RouteSet &routes)
--- a/tests/routes/routesetdeltatest.cpp
+++ b/tests/routes/routesetdeltatest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-ForwardRoute route(std::size_t number, int weight = 1)
+ForwardRoute route(std::size_t number, double weight = 1)
 {
     return {.name = "r" + std::to_string(number),
             .host = "h",
--- a/tests/routes/routesettest.cpp
+++ b/tests/routes/routesettest.cpp
@@ -58,6 +58,43 @@
     }
 }
 
+// Weights of 1,800,000,000 and 200,000,000 kept each process busy for seconds at the first request: it took a step for each unit.
+TEST_CASE("split selector: only the proportions of the weights count, however large or small they are")
+{
+    const struct {
+        const char *name;
+        double scale;
+    } rows[] = {{"billions", 2e8}, {"beyond 64 bits", 1e30}, {"near the largest double", 1e307}, {"fractions", 0.01}, {"tiny", 1e-300}};
+    for (const auto &row : rows) {
+        CAPTURE(row.name);
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            CAPTURE(seed);
+            ForwardRoute usual = route("split", "h", "/");
+            usual.targets = {{.service = ServiceName("a"), .weight = 8},
+                             {.service = ServiceName("b"), .weight = 4},
+                             {.service = ServiceName("c"), .weight = 1}};
+            ForwardRoute scaled = usual;
+            for (ForwardTarget &target : scaled.targets) {
+                target.weight *= row.scale;
+            }
+            SplitSelector usualSelector(seed);
+            SplitSelector scaledSelector(seed);
+            std::map<std::string, int> counts;
+            int differences = 0;
+            for (int request = 0; request < 130; ++request) {
+                const std::string &service = scaledSelector.next(scaled).value();
+                differences += service == usualSelector.next(usual).value() ? 0 : 1;
+                ++counts[service];
+            }
+            // The scaled weights are rounded, so that a choice may come one request earlier or later.
+            CHECK(differences <= 2);
+            CHECK(std::abs(counts["a"] - 80) <= 1);
+            CHECK(std::abs(counts["b"] - 40) <= 2);
+            CHECK(std::abs(counts["c"] - 10) <= 2);
+        }
+    }
+}
+
 TEST_CASE("split selector: many instances with few requests each do not all prefer the heavier target")
 {
     ForwardRoute split = route("split", "h", "/");
