Close the listening socket of the caller server only after its workers have ended

What happened: a test case that stops a caller server aborted now and then ("Failed to remove listen FD from epoll set"), and under the thread sanitizer close() in CallerServer::drain() raced with epoll_ctl() in a worker, which refused a landing. filbertmountd only.

Cause: MHD_quiesce_daemon() only asks the workers to take the socket out of their epoll sets; drain() closed it at once.

Change: drain() shuts the socket down, so that connections are refused as before, and the destructor closes it after the daemon has stopped.

Test: callerservertest, failed before (the descriptor was gone after the drain).

--- a/include/filbertmount/proxy/callerserver.h
+++ b/include/filbertmount/proxy/callerserver.h
@@ -66,6 +66,8 @@
 
     std::unique_ptr<Context> m_context;
     MHD_Daemon *m_daemon = nullptr;
+    /** The listening socket once the server drains; closed after the daemon has stopped. */
+    int m_listener = -1;
 };
 
 } // namespace Filbertmount
--- a/src/proxy/callerserver.cpp
+++ b/src/proxy/callerserver.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -262,6 +263,9 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
     MHD_stop_daemon(m_daemon);
+    if (m_listener >= 0) {
+        close(m_listener);
+    }
 }
 
 std::uint16_t CallerServer::port() const
@@ -280,9 +284,10 @@
     if (m_context->draining.exchange(true)) {
         return;
     }
-    const int listener = MHD_quiesce_daemon(m_daemon);
-    if (listener >= 0) {
-        close(listener);
+    m_listener = MHD_quiesce_daemon(m_daemon);
+    if (m_listener >= 0) {
+        // Refuses new connections. The descriptor stays open, because workers may still have to take it out of their epoll sets.
+        ::shutdown(m_listener, SHUT_RDWR);
     }
 }
 
