--- a/src/edge/callerhandler.cpp
+++ b/src/edge/callerhandler.cpp
@@ -97,7 +97,9 @@
     if (!milliseconds || *milliseconds < 0) {
         return request.arrival + routeTimeout;
     }
-    return request.arrival + std::min<Duration>(routeTimeout, std::chrono::milliseconds(*milliseconds));
+    // Compared in milliseconds, because the conversion of a large number would overflow.
+    const auto longest = std::chrono::ceil<std::chrono::milliseconds>(routeTimeout);
+    return request.arrival + std::min<Duration>(routeTimeout, std::min(longest, std::chrono::milliseconds(*milliseconds)));
 }
 
 Instant CallerHandler::objectiveOf(const ServerRequest &request, const ForwardRoute &route) const
--- a/tests/edge/callerhandlertest.cpp
+++ b/tests/edge/callerhandlertest.cpp
@@ -31,9 +31,9 @@
         handler.startForwarding();
     }
 
-    std::shared_ptr<ActiveRequest> send(const std::string &target, Duration timeLeft)
+    std::shared_ptr<ActiveRequest> send(const std::string &target, std::chrono::milliseconds timeLeft)
     {
-        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
+        const auto milliseconds = timeLeft.count();
         return handler.handle({.method = "GET",
                                .target = target,
                                .headers = {{"Host", "h"}, {"Attempt", "id-1"}, {"Time-Left", std::to_string(milliseconds)}},
@@ -65,7 +65,7 @@
     struct Row {
         const char *name;
         std::string target;
-        Duration callerWaits;
+        std::chrono::milliseconds callerWaits;
         /** Time until the process ends, and whether the balancer still sends connections. */
         Duration untilExit;
         bool isInBalancer;
@@ -99,12 +99,16 @@
 
 TEST_CASE("caller handler: without a shutdown, requests with any deadline are forwarded")
 {
-    HandlerFixture fixture;
-    fixture.send("/order/1", 60s);
-    REQUIRE(runUntil(fixture.loop, [&] {
-        return fixture.result.has_value();
-    }));
-    CHECK(fixture.result->status == 200);
+    // The last one is longer than the clock's range, and was taken for one that has passed.
+    for (const std::chrono::milliseconds timeLeft : {std::chrono::milliseconds(60s), std::chrono::milliseconds::max()}) {
+        CAPTURE(timeLeft.count());
+        HandlerFixture fixture;
+        fixture.send("/order/1", timeLeft);
+        REQUIRE(runUntil(fixture.loop, [&] {
+            return fixture.result.has_value();
+        }));
+        CHECK(fixture.result->status == 200);
+    }
 }
 
 // Guards against a request that waited for an upstream until the process ended, and whose caller was told nothing.
--- a/tests/platform/storeprotocoltest.cpp
+++ b/tests/platform/storeprotocoltest.cpp
@@ -331,12 +331,17 @@
                            Row{"", false, 0},
                            Row{"a,b,c", false, 0},
                            Row{"3,-1,8,100", false, 0},
-                           Row{"3,0,8,0", true, 0}}) {
+                           Row{"3,0,8,0", true, 0},
+                           Row{"4294967299,4294967295,2147483648,9223372036854775807", true, 10'000}}) {
         CAPTURE(row.text);
         const std::optional<UpstreamLoad> load = Platform::parseLoad(row.text);
         CHECK(load.has_value() == row.isRead);
         if (load) {
             CHECK(load->pace.value_or(0) == row.pace);
+            // A number beyond an int must not become a small or negative one.
+            CHECK((load->running == 3 || load->running == 1'000'000));
+            CHECK(load->waiting >= 0);
+            CHECK(load->slots >= 8);
         }
     }
 }
