--- a/include/filbertmount/edge/evacuationtable.h
+++ b/include/filbertmount/edge/evacuationtable.h
@@ -16,9 +16,9 @@
  * Of two reports on one zone the one with the higher revision is kept, and of two with the same revision the end. Ends are
  * remembered, so that an older report, which may arrive late or from another instance, does not start an evacuation again.
  *
- * An evacuation whose entry the store may have lost is in force until the end of a grace time, but it is not one of the store's: it is not
- * part of the hash, and it is sent to other instances as a deletion that may be an error. Its end has the revision of the listing that lacks it,
- * so that an entry that is written afterwards always starts it again.
+ * An evacuation whose entry the store may have lost is in force until the end of a grace time, but it is not one of the store's:
+ * it is not part of the hash, and it is sent to other instances as a deletion that may be an error. Its end has the revision of
+ * the listing that lacks it, so that an entry that is written afterwards always starts it again.
  */
 class EvacuationTable
 {
@@ -31,8 +31,8 @@
     /** Records that the entry for @p zone was deleted at @p revision; returns whether an evacuation ends. */
     bool end(const std::string &zone, Revision revision);
     /**
-     * Records that the store at revision @p since may have lost the entry for @p zone; the evacuation ends at @p endsAt unless the entry is
-     * written again. Returns whether that is new; it has no effect on a zone that is not evacuated.
+     * Records that the store at revision @p since may have lost the entry for @p zone; the evacuation ends at @p endsAt unless
+     * the entry is written again. Returns whether that is new; it has no effect on a zone that is not evacuated.
      */
     bool markMissing(const std::string &zone, Revision since, Instant endsAt);
     [[nodiscard]] bool isMissing(const std::string &zone) const;
--- a/include/filbertmount/edge/sharedstate.h
+++ b/include/filbertmount/edge/sharedstate.h
@@ -47,8 +47,8 @@
 
 /**
  * An entry about an entry instance in the store: its registration, its departure from the fleet, or its report on others (see
- * SilenceReport), each of which is an object of its own. Each is created by a single call, so that a lost response or a late execution of
- * the call does no harm.
+ * SilenceReport), each of which is an object of its own. Each is created by a single call, so that a lost response or a late
+ * execution of the call does no harm.
  */
 struct InstanceRecord {
     /** "IP:port" for messages between instances. */
--- a/include/filbertmount/edge/statemirror.h
+++ b/include/filbertmount/edge/statemirror.h
@@ -261,8 +261,8 @@
     /** Keeps an evacuation whose entry the store may have lost for a grace time. */
     void markMissing(const Deletion &deletion, Instant now, MirrorChanges &changes);
     /**
-     * Whether @p deletion only shows that a copy of the store lacks an entry of @p kind that was written before the store's return: the
-     * entry has the revision @p known, and the state as a whole has not been confirmed since the return either.
+     * Whether @p deletion only shows that a copy of the store lacks an entry of @p kind that was written before the store's
+     * return: the entry has the revision @p known, and the state as a whole has not been confirmed since the return either.
      */
     [[nodiscard]] bool mayBeLost(StateKind kind, const Deletion &deletion, Revision known) const;
     /** Returns why @p entry is kept after @p deletion; empty if it is removed at once. */
--- a/include/filbertmount/membership/knowninstances.h
+++ b/include/filbertmount/membership/knowninstances.h
@@ -32,8 +32,8 @@
     /** Entries of departed instances are kept for this long, so that stale listings do not bring them back. */
     Duration departureRetention = std::chrono::minutes(10);
     /**
-     * A part of the fleet that is no majority reports the others as silent after this time, in which it has not changed itself. Longer
-     * than the promises and grants of quotas last.
+     * A part of the fleet that is no majority reports the others as silent after this time, in which it has not changed itself.
+     * Longer than the promises and grants of quotas last.
      */
     Duration reportDelay = std::chrono::seconds(3);
     SilenceReportOptions reports;
@@ -42,7 +42,8 @@
 /**
  * Tracks which instances may be running, reachable or not: live members, members that stopped responding recently, and the
  * instances registered in the store. Instances that announced their shutdown are not among them, although their registration may
- * still exist, nor are those that a report excludes (see SilenceReports). Instances are identified by their peer addresses, which survive a restart. Performs no I/O. Not thread-safe.
+ * still exist, nor are those that a report excludes (see SilenceReports). Instances are identified by their peer addresses, which
+ * survive a restart. Performs no I/O. Not thread-safe.
  */
 class KnownInstances
 {
@@ -71,8 +72,8 @@
     /** Peer addresses of the live instances. */
     [[nodiscard]] std::vector<std::string> live() const;
     /**
-     * Returns the instances to be reported as silent: all that are missing, if that makes the live ones a majority and no report in the store
-     * names them; otherwise none.
+     * Returns the instances to be reported as silent: all that are missing, if that makes the live ones a majority and no report
+     * in the store names them; otherwise none.
      */
     [[nodiscard]] std::vector<std::string> silenceToReport(Instant now) const;
     /** Registered instances that were silent for so long that they have left the fleet. */
--- a/include/filbertmount/membership/silencereports.h
+++ b/include/filbertmount/membership/silencereports.h
@@ -11,8 +11,8 @@
 namespace Filbertmount {
 
 /**
- * A statement in the store that instances are silent, by others that cannot reach them, or the withdrawal of such a statement, which is
- * kept for a while after the report itself is deleted.
+ * A statement in the store that instances are silent, by others that cannot reach them, or the withdrawal of such a statement,
+ * which is kept for a while after the report itself is deleted.
  */
 struct SilenceReport {
     /** Name of the object in the store; a report with other instances has another name. */
@@ -28,8 +28,8 @@
     /** A current listing of the store counts for this long from its request on. */
     Duration listingValidity = std::chrono::seconds(7);
     /**
-     * A report is used after it has been in the store for this long. By then, whatever the silent instances were allowed by a listing
-     * without it has ended, with the promises and grants that last a little longer.
+     * A report is used after it has been in the store for this long. By then, whatever the silent instances were allowed by a
+     * listing without it has ended, with the promises and grants that last a little longer.
      */
     Duration takeoverDelay = std::chrono::milliseconds(8200);
     /** A withdrawal is kept for this long; longer than listingValidity. */
@@ -39,11 +39,12 @@
 /**
  * Decides from listings of the store which silent instances no longer count. Performs no I/O, not thread-safe.
  *
- * Silence does not show whether an instance has failed or is only cut off. So a part of the fleet that is too small to be a majority
- * reports the silence of the others in the store. While an instance is missing, a majority may act as one only on a recent listing that
- * contains no report on its own instances; if it reads one, it withdraws the report. Those who reported leave the silent instances out
- * when the report has been in the store for takeoverDelay, and as long as a recent listing still contains it. All listings that
- * count are current ones, so that a majority that is only cut off has stopped before, or has withdrawn the report.
+ * Silence does not show whether an instance has failed or is only cut off. So a part of the fleet that is too small to be a
+ * majority reports the silence of the others in the store. While an instance is missing, a majority may act as one only on a
+ * recent listing that contains no report on its own instances; if it reads one, it withdraws the report. Those who reported leave
+ * the silent instances out when the report has been in the store for takeoverDelay, and as long as a recent listing still
+ * contains it. All listings that count are current ones, so that a majority that is only cut off has stopped before, or has
+ * withdrawn the report.
  */
 class SilenceReports
 {
--- a/include/filbertmount/routes/splitselector.h
+++ b/include/filbertmount/routes/splitselector.h
@@ -10,9 +10,10 @@
 /**
  * Distributes the requests of routes with several targets by their weights. Not thread-safe.
  *
- * A request is for the first target or for one of the others; among those it is for the second or for one of the rest, and so on. Each of
- * these choices diffuses its rounding error to the next request that has to make it, so that any run of consecutive requests is split
- * close to the weights. The time that a choice takes depends on the number of targets only, not on the size of the weights.
+ * A request is for the first target or for one of the others; among those it is for the second or for one of the rest, and so on.
+ * Each of these choices diffuses its rounding error to the next request that has to make it, so that any run of consecutive
+ * requests is split close to the weights. The time that a choice takes depends on the number of targets only, not on the size of
+ * the weights.
  *
  * Each instance starts with random errors. Otherwise all instances would start with the target of the highest weight, which would
  * get too many requests when each instance receives few.
--- a/include/filbertmount/telemetry/metrics.h
+++ b/include/filbertmount/telemetry/metrics.h
@@ -36,7 +36,7 @@
 inline constexpr MetricInfo StoreReturns{"filbertmount_store_returns_total",
                                          "Returns of the platform's store from an older copy"};
 inline constexpr MetricInfo ConfigurationDefects{"filbertmount_configuration_defects_total",
-                                                "Parts of configurations that could not be used as written."};
+                                                 "Parts of configurations that could not be used as written."};
 inline constexpr MetricInfo RejectedObjects{"filbertmount_store_objects_rejected_total",
                                             "Revisions of objects of the store that could not be used"};
 inline constexpr MetricInfo Claims{"filbertmount_claims_total", "Idempotency key claims, by service and decision"};
--- a/src/accounts/quotaelection.cpp
+++ b/src/accounts/quotaelection.cpp
@@ -158,7 +158,8 @@
 
 Instant QuotaElection::majorityConfirmedUntil() const
 {
-    return m_allFollowedAt ? std::max(m_members.confirmedUntil, *m_allFollowedAt + m_options.unityTime) : m_members.confirmedUntil;
+    return m_allFollowedAt ? std::max(m_members.confirmedUntil, *m_allFollowedAt + m_options.unityTime)
+                           : m_members.confirmedUntil;
 }
 
 std::uint32_t QuotaElection::share(Instant now) const
--- a/src/edge/messagefragments.cpp
+++ b/src/edge/messagefragments.cpp
@@ -12,7 +12,8 @@
 
 bool isValid(const Wire::Fragment &fragment)
 {
-    return fragment.count() <= MaxFragments && fragment.index() < fragment.count() && fragment.content().size() <= MaxFragmentBytes;
+    return fragment.count() <= MaxFragments && fragment.index() < fragment.count()
+        && fragment.content().size() <= MaxFragmentBytes;
 }
 
 } // namespace
--- a/src/edge/messagefragments.h
+++ b/src/edge/messagefragments.h
@@ -24,8 +24,8 @@
 /**
  * Joins the fragments of received envelopes, one envelope per sender at a time. Sans-I/O, not thread-safe.
  *
- * An envelope that lost a fragment is dropped when the sender's next one arrives. The memory for incomplete envelopes is bounded: the
- * one that has waited longest for a fragment is dropped first.
+ * An envelope that lost a fragment is dropped when the sender's next one arrives. The memory for incomplete envelopes is bounded:
+ * the one that has waited longest for a fragment is dropped first.
  */
 class FragmentJoiner
 {
--- a/src/edge/peersocket.h
+++ b/src/edge/peersocket.h
@@ -18,8 +18,8 @@
 namespace Filbertmount {
 
 /**
- * Sends and receives envelopes as UDP datagrams. Runs on the IoLoop. An envelope that is too long for one is sent in fragments, which
- * the receiver joins (see FragmentJoiner).
+ * Sends and receives envelopes as UDP datagrams. Runs on the IoLoop. An envelope that is too long for one is sent in fragments,
+ * which the receiver joins (see FragmentJoiner).
  *
  * All protocols between instances tolerate lost messages, so the socket does not retransmit.
  *
--- a/src/edge/registrationupkeep.h
+++ b/src/edge/registrationupkeep.h
@@ -21,8 +21,9 @@
  * departed long ago. It adds departures only while more than half of the known instances are live: on the smaller side of a
  * partition, the other side is silent too.
  *
- * An instance that decides on behalf of the others lists the current state often while one is missing. If it decides for less than a
- * majority, it reports the silence of the others; if it reads a report on instances that are live, it withdraws it (see SilenceReports).
+ * An instance that decides on behalf of the others lists the current state often while one is missing. If it decides for less
+ * than a majority, it reports the silence of the others; if it reads a report on instances that are live, it withdraws it (see
+ * SilenceReports).
  */
 template<StoreProtocol Protocol>
 class RegistrationUpkeep
@@ -48,8 +49,7 @@
         ChangeHandler onChange;
     };
 
-    RegistrationUpkeep(
-        IoLoop &loop, Protocol protocol, const StoreCallOptions &options, Dependencies dependencies, Options own)
+    RegistrationUpkeep(IoLoop &loop, Protocol protocol, const StoreCallOptions &options, Dependencies dependencies, Options own)
         : m_calls(loop, options.store, eraReader(protocol, dependencies.mirror), dependencies.metrics, StateKind::Instances)
         , m_protocol(std::move(protocol))
         , m_listing(m_calls, m_protocol, {.kind = StateKind::Instances, .callTimeout = options.callTimeout})
@@ -142,7 +142,8 @@
             remove(entryNamed(report.name), "removing a withdrawn report");
             return;
         }
-        createReport(report.name + ".withdrawn", report.silent, true, "a live instance was reported as silent; withdrawing the report");
+        createReport(
+            report.name + ".withdrawn", report.silent, true, "a live instance was reported as silent; withdrawing the report");
     }
 
     void createReport(const std::string &name, std::vector<std::string> silent, bool isWithdrawal, const std::string &reason)
--- a/src/edge/statewire.h
+++ b/src/edge/statewire.h
@@ -50,9 +50,9 @@
 std::size_t wireBytes(const RouteSet &routes);
 
 /**
- * Splits @p objects into messages of a limited size; without objects, returns one empty message. Of several versions of the routes
- * only the last is sent; a route set that is too long for a message is split into pieces, which are objects of the same name and
- * version. An account with many keys may be in several pieces, each with some of the keys.
+ * Splits @p objects into messages of a limited size; without objects, returns one empty message. Of several versions of the
+ * routes only the last is sent; a route set that is too long for a message is split into pieces, which are objects of the same
+ * name and version. An account with many keys may be in several pieces, each with some of the keys.
  */
 std::vector<Wire::StatePush> toPushes(StateKind kind, std::span<const StateChange> objects);
 
--- a/src/routes/splitselector.cpp
+++ b/src/routes/splitselector.cpp
@@ -13,9 +13,10 @@
 
 double largestWeight(const std::vector<ForwardTarget> &targets)
 {
-    const auto largest = std::max_element(targets.begin(), targets.end(), [](const ForwardTarget &left, const ForwardTarget &right) {
-        return left.weight < right.weight;
-    });
+    const auto largest =
+        std::max_element(targets.begin(), targets.end(), [](const ForwardTarget &left, const ForwardTarget &right) {
+            return left.weight < right.weight;
+        });
     return largest->weight;
 }
 
--- a/tests/edge/instanceregistrationtest.cpp
+++ b/tests/edge/instanceregistrationtest.cpp
@@ -124,25 +124,24 @@
         : known(options)
         , fleet(loop, {.cluster = "test", .self = {.id = InstanceId("a"), .peerAddress = "127.0.0.35:17662"}}, metrics)
         , router({.self = InstanceId("a"), .send = fleet.sender()})
-        , upkeep(
-              loop,
-              Platform::StoreProtocol(),
-              {.store = store.endpoint()},
-              {.mirror = mirror, .fleet = fleet, .known = known, .metrics = metrics},
-              {.instanceName = "a",
-               .peerAddress = "a",
-               .needsList =
-                   [isDeciding] {
-                       return isDeciding;
-                   },
-               .onConfirmed =
-                   [this](Instant sentAt) {
-                       known.confirmListing(sentAt, ProcessClock::now(), false);
-                   },
-               .onChange =
-                   [this](const MirrorChanges &) {
-                       follow();
-                   }})
+        , upkeep(loop,
+                 Platform::StoreProtocol(),
+                 {.store = store.endpoint()},
+                 {.mirror = mirror, .fleet = fleet, .known = known, .metrics = metrics},
+                 {.instanceName = "a",
+                  .peerAddress = "a",
+                  .needsList =
+                      [isDeciding] {
+                          return isDeciding;
+                      },
+                  .onConfirmed =
+                      [this](Instant sentAt) {
+                          known.confirmListing(sentAt, ProcessClock::now(), false);
+                      },
+                  .onChange =
+                      [this](const MirrorChanges &) {
+                          follow();
+                      }})
     {
         fleet.setRouter(router);
     }
@@ -294,8 +293,8 @@
     }
 }
 
-// Without the report, what is left of a fleet never counts as a majority again. A report on live instances would let both parts of a
-// divided fleet count as one.
+// Without the report, what is left of a fleet never counts as a majority again. A report on live instances would let both parts
+// of a divided fleet count as one.
 TEST_CASE("registration upkeep: a deciding minority reports silent instances, and reports on live ones are withdrawn")
 {
     struct Row {
--- a/tests/edge/messagefragmentstest.cpp
+++ b/tests/edge/messagefragmentstest.cpp
@@ -1,5 +1,5 @@
-#include "edge/fleet.h"
 #include "edge/messagefragments.h"
+#include "edge/fleet.h"
 
 #include "support/loopserver.h"
 
--- a/tests/edge/storeeratest.cpp
+++ b/tests/edge/storeeratest.cpp
@@ -235,8 +235,8 @@
 
 } // namespace
 
-// Several instances read the store while it is away. All but one stopped reading before the entry was written again, and ended the
-// evacuation with a revision that made the new entry look old.
+// Several instances read the store while it is away. All but one stopped reading before the entry was written again, and ended
+// the evacuation with a revision that made the new entry look old.
 TEST_CASE("store era: an evacuation that is written again holds on instances that have found it missing and read no more")
 {
     struct Row {
@@ -253,7 +253,8 @@
             CHECK(mirror->evacuations().contains(Zone));
         }
         CHECK(reader.hash(StateKind::Evacuations) == other.hash(StateKind::Evacuations));
-        const StateChanges written{.changes = {{.object = evacuationOf(Revision(86, After))}}, .storeRevision = Revision(86, After)};
+        const StateChanges written{.changes = {{.object = evacuationOf(Revision(86, After))}},
+                                   .storeRevision = Revision(86, After)};
         const MirrorChanges changes = reader.applyChanges(StateKind::Evacuations, written, Returned + 1s);
         // The reader pushes what has changed.
         REQUIRE(changes.evacuations.size() == 1);
--- a/tests/membership/silencereportstest.cpp
+++ b/tests/membership/silencereportstest.cpp
@@ -53,9 +53,19 @@
         {"no report", {}, seconds(20), seconds(20), false, true},
         {"a report for a short time", {report("r", Three)}, Takeover - seconds(1), Takeover - seconds(1), false, false},
         {"a report for the whole delay", {report("r", Three)}, Takeover + seconds(2), Takeover + seconds(2), true, true},
-        {"a report that is no longer listed", {report("r", Three)}, Takeover + seconds(2), Takeover + seconds(3) + Validity, false, false},
+        {"a report that is no longer listed",
+         {report("r", Three)},
+         Takeover + seconds(2),
+         Takeover + seconds(3) + Validity,
+         false,
+         false},
         {"a report on a live instance", {report("r", {"a"})}, seconds(30), seconds(30), false, false},
-        {"a withdrawal a moment ago", {{.name = "w", .silent = Three, .isWithdrawal = true}}, seconds(2), seconds(2), false, false},
+        {"a withdrawal a moment ago",
+         {{.name = "w", .silent = Three, .isWithdrawal = true}},
+         seconds(2),
+         seconds(2),
+         false,
+         false},
         {"a withdrawal long ago", {{.name = "w", .silent = Three, .isWithdrawal = true}}, seconds(20), seconds(20), false, true},
     };
     for (const Row &row : rows) {
@@ -290,8 +300,8 @@
 
 } // namespace
 
-// Tenants were refused for good after three of five machines had been lost. A rule that only counts the live ones would let both parts
-// of a divided fleet grant the whole quota.
+// Tenants were refused for good after three of five machines had been lost. A rule that only counts the live ones would let both
+// parts of a divided fleet grant the whole quota.
 TEST_CASE("silence reports: of two parts of a fleet at most one acts as a majority, and what is left of it recovers")
 {
     for (std::uint64_t seed = 1; seed <= 300; ++seed) {
--- a/tests/platform/accountstest.cpp
+++ b/tests/platform/accountstest.cpp
@@ -58,8 +58,8 @@
     CHECK(std::get<RouteSet>(Platform::parseRouteSet(without)).requiresKey);
 }
 
-// A tenant with 257 keys, a key of 300 characters or a name outside of ASCII kept the whole version out of force for good, so that
-// removed keys went on working.
+// A tenant with 257 keys, a key of 300 characters or a name outside of ASCII kept the whole version out of force for good, so
+// that removed keys went on working.
 TEST_CASE("configuration: what is odd in an account spoils that alone, and the reason contains no key")
 {
     constexpr std::size_t name = 0;
@@ -113,7 +113,10 @@
         {rate, "5", small, "rate_per_s"},
         {burst, 1e300, ClientAccount{.name = AccountName("small"), .burst = 1e6}, ""},
         {regions, "north", ClientAccount{.name = AccountName("small"), .allowedRegions = {Region()}}, "allowed_regions"},
-        {regions, Json::array({3, "n"}), ClientAccount{.name = AccountName("small"), .allowedRegions = {Region(), Region("n")}}, "allowed_regions"},
+        {regions,
+         Json::array({3, "n"}),
+         ClientAccount{.name = AccountName("small"), .allowedRegions = {Region(), Region("n")}},
+         "allowed_regions"},
     };
     const auto expected = std::get<RouteSet>(Platform::parseRouteSet(configuration()));
     for (const Row &row : rows) {
--- a/tests/platform/oddconfigurationtest.cpp
+++ b/tests/platform/oddconfigurationtest.cpp
@@ -110,22 +110,42 @@
         {"max_attempts 3.0", attempts, 3.0, mostAttempts(3), false},
         {"max_attempts 0", attempts, 0, mostAttempts(1), false},
         {"max_attempts above 64 bits", attempts, 1e30, mostAttempts(std::numeric_limits<int>::max()), false},
-        {"a kind of a later version", kind, "stream", secondRouteWith([](ForwardRoute &route) {
+        {"a kind of a later version",
+         kind,
+         "stream",
+         secondRouteWith([](ForwardRoute &route) {
              route.isRepeatable = false;
-         }), false},
-        {"a kind that is a number", kind, 3, secondRouteWith([](ForwardRoute &route) {
+         }),
+         false},
+        {"a kind that is a number",
+         kind,
+         3,
+         secondRouteWith([](ForwardRoute &route) {
              route.isRepeatable = false;
-         }), true},
-        {"no timeout", timeout, nullptr, secondRouteWith([](ForwardRoute &route) {
+         }),
+         true},
+        {"no timeout",
+         timeout,
+         nullptr,
+         secondRouteWith([](ForwardRoute &route) {
              route.timeout = 30s;
-         }), false},
-        {"a negative timeout", timeout, -1, secondRouteWith([](ForwardRoute &route) {
+         }),
+         false},
+        {"a negative timeout",
+         timeout,
+         -1,
+         secondRouteWith([](ForwardRoute &route) {
              route.timeout = 30s;
-         }), true},
+         }),
+         true},
         {"a flag that is a text", exempt, "yes", secondRoute(), true},
-        {"no name", name, nullptr, secondRouteWith([](ForwardRoute &route) {
+        {"no name",
+         name,
+         nullptr,
+         secondRouteWith([](ForwardRoute &route) {
              route.name = "h/b/";
-         }), false},
+         }),
+         false},
         {"no host", host, nullptr, std::nullopt, true},
         {"a prefix that is a number", prefix, 4, std::nullopt, true},
     };
@@ -158,40 +178,76 @@
         Json value;
         std::function<bool(const RouteSet &)> holds;
     } rows[] = {
-        {"a limit as a fraction", "/spec/limits/max_body_bytes", 67108864.0, [](const RouteSet &routes) {
+        {"a limit as a fraction",
+         "/spec/limits/max_body_bytes",
+         67108864.0,
+         [](const RouteSet &routes) {
              return routes.limits.maxBodyBytes == 67108864 && routes.defects.empty();
          }},
-        {"a limit above 32 bits", "/spec/limits/max_header_bytes", 1e12, [](const RouteSet &routes) {
+        {"a limit above 32 bits",
+         "/spec/limits/max_header_bytes",
+         1e12,
+         [](const RouteSet &routes) {
              return routes.limits.maxHeaderBytes == std::numeric_limits<std::uint32_t>::max();
          }},
-        {"a limit that is a text", "/spec/limits/header_timeout_s", "3", [](const RouteSet &routes) {
+        {"a limit that is a text",
+         "/spec/limits/header_timeout_s",
+         "3",
+         [](const RouteSet &routes) {
              return routes.limits.headerTimeout == CallerLimits().headerTimeout && routes.limits.idleTimeout == 15s;
          }},
-        {"limits that are a list", "/spec/limits", Json::array(), [](const RouteSet &routes) {
+        {"limits that are a list",
+         "/spec/limits",
+         Json::array(),
+         [](const RouteSet &routes) {
              return routes.limits.idleTimeout == CallerLimits().idleTimeout;
          }},
-        {"an empty path of health checks", "/spec/services/rows/0/1", "", [](const RouteSet &routes) {
+        {"an empty path of health checks",
+         "/spec/services/rows/0/1",
+         "",
+         [](const RouteSet &routes) {
              return routes.services[0].healthPath.empty() && routes.services.size() == 2;
          }},
-        {"connections as a fraction", "/spec/services/rows/0/2", 220.0, [](const RouteSet &routes) {
+        {"connections as a fraction",
+         "/spec/services/rows/0/2",
+         220.0,
+         [](const RouteSet &routes) {
              return routes.services[0].maxConnections == 220 && routes.defects.empty();
          }},
-        {"a service without a name", "/spec/services/rows/0/0", nullptr, [](const RouteSet &routes) {
+        {"a service without a name",
+         "/spec/services/rows/0/0",
+         nullptr,
+         [](const RouteSet &routes) {
              return routes.services.size() == 1 && routes.services[0].name == Y;
          }},
-        {"no services", "/spec/services", nullptr, [](const RouteSet &routes) {
+        {"no services",
+         "/spec/services",
+         nullptr,
+         [](const RouteSet &routes) {
              return routes.services.empty();
          }},
-        {"a row that is a text", "/spec/services/rows/1", "y", [](const RouteSet &routes) {
+        {"a row that is a text",
+         "/spec/services/rows/1",
+         "y",
+         [](const RouteSet &routes) {
              return routes.services.size() == 1;
          }},
-        {"a row that is too short", "/spec/services/rows/1", Json::array({"y"}), [](const RouteSet &routes) {
+        {"a row that is too short",
+         "/spec/services/rows/1",
+         Json::array({"y"}),
+         [](const RouteSet &routes) {
              return routes.services.size() == 2 && routes.services[1].maxConnections == 0;
          }},
-        {"a row that is too long", "/spec/services/rows/1", {"y", "/health", 220, "more"}, [](const RouteSet &routes) {
+        {"a row that is too long",
+         "/spec/services/rows/1",
+         {"y", "/health", 220, "more"},
+         [](const RouteSet &routes) {
              return routes.services.size() == 2 && routes.services[1].maxConnections == 220;
          }},
-        {"a column without a name", "/spec/services/columns/1", 7, [](const RouteSet &routes) {
+        {"a column without a name",
+         "/spec/services/columns/1",
+         7,
+         [](const RouteSet &routes) {
              return routes.services[0].healthPath.empty() && routes.services[0].maxConnections == 220;
          }},
     };
--- a/tests/platform/storeprotocoltest.cpp
+++ b/tests/platform/storeprotocoltest.cpp
@@ -130,7 +130,8 @@
 // The pages set no limit on the slots, and a whole number may be written as a fraction.
 TEST_CASE("store protocol: numbers of an upstream are read in any form and limited to what is usable")
 {
-    const std::string address = R"({"address":"10.0.0.9:8080","born":1796000000000.0,"info":{"service":"s","zone":"z","capacity_slots":)";
+    const std::string address =
+        R"({"address":"10.0.0.9:8080","born":1796000000000.0,"info":{"service":"s","zone":"z","capacity_slots":)";
     const struct {
         const char *slots;
         int expected;
--- a/tests/proxy/callerservertest.cpp
+++ b/tests/proxy/callerservertest.cpp
@@ -45,8 +45,8 @@
     CHECK(upstream.connections() == 1);
 }
 
-// The workers of libmicrohttpd take the listening socket out of their epoll sets some time after the drain has begun. Closing it before
-// aborted the process now and then, and was a data race.
+// The workers of libmicrohttpd take the listening socket out of their epoll sets some time after the drain has begun. Closing it
+// before aborted the process now and then, and was a data race.
 TEST_CASE("a drain refuses connections but leaves the listening socket open until the workers have ended")
 {
     const auto listensAt = [](int descriptor, std::uint16_t port) {
--- a/tests/routes/routesettest.cpp
+++ b/tests/routes/routesettest.cpp
@@ -64,7 +64,8 @@
     const struct {
         const char *name;
         double scale;
-    } rows[] = {{"billions", 2e8}, {"beyond 64 bits", 1e30}, {"near the largest double", 1e307}, {"fractions", 0.01}, {"tiny", 1e-300}};
+    } rows[] = {
+        {"billions", 2e8}, {"beyond 64 bits", 1e30}, {"near the largest double", 1e307}, {"fractions", 0.01}, {"tiny", 1e-300}};
     for (const auto &row : rows) {
         CAPTURE(row.name);
         for (std::uint64_t seed = 1; seed <= 20; ++seed) {
