--- a/src/edge/registrationupkeep.h
+++ b/src/edge/registrationupkeep.h
@@ -125,13 +125,13 @@
             remove(entryNamed(obsolete->name), "removing the withdrawal of a report");
             return true;
         }
-        std::vector<std::string> silent = known.silenceToReport(now);
+        const std::vector<std::string> silent = known.silenceToReport(now);
         if (silent.empty()) {
             return false;
         }
         // A report that is created again must not be taken for one that was listed before.
         const std::string name = m_options.instanceName + ".silent-" + std::to_string(randomSeed());
-        createReport(name, std::move(silent), false, "most instances are silent; reporting it in the store");
+        createReport(name, silent, false, "most instances are silent; reporting it in the store");
         return true;
     }
 
@@ -146,10 +146,10 @@
             report.name + ".withdrawn", report.silent, true, "a live instance was reported as silent; withdrawing the report");
     }
 
-    void createReport(const std::string &name, std::vector<std::string> silent, bool isWithdrawal, const std::string &reason)
+    void
+    createReport(const std::string &name, const std::vector<std::string> &silent, bool isWithdrawal, const std::string &reason)
     {
-        const InstanceRecord report{
-            .peerAddress = m_options.peerAddress, .silent = std::move(silent), .isWithdrawal = isWithdrawal};
+        const InstanceRecord report{.peerAddress = m_options.peerAddress, .silent = silent, .isWithdrawal = isWithdrawal};
         write(m_protocol.createInstanceRequest(name, report), "create", reason, name);
     }
 
