Remove reports on instances that have all left, and let a withdrawal name only those that are live

And after one of several reported instances is back, the others can be reported again at once; the withdrawal named them too, for a minute. Tests: instanceregistrationtest, whose new row failed before (nothing was deleted); silencereportstest.

--- a/include/filbertmount/membership/knowninstances.h
+++ b/include/filbertmount/membership/knowninstances.h
@@ -76,6 +76,8 @@
      * in the store names them; otherwise none.
      */
     [[nodiscard]] std::vector<std::string> silenceToReport(Instant now) const;
+    /** Returns a report that is no longer needed, because all instances that it names have left; null if there is none. */
+    [[nodiscard]] const SilenceReport *obsoleteReport(Instant now) const;
     /** Registered instances that were silent for so long that they have left the fleet. */
     [[nodiscard]] std::vector<std::string> silentInstances(Instant now) const;
     /** Live instances whose departure entry is wrong. */
--- a/include/filbertmount/membership/silencereports.h
+++ b/include/filbertmount/membership/silencereports.h
@@ -17,10 +17,16 @@
 struct SilenceReport {
     /** Name of the object in the store; a report with other instances has another name. */
     std::string name;
-    /** Peer addresses of the silent instances. */
+    /** Peer addresses of the silent instances; of a withdrawal, those that are live. */
     std::vector<std::string> silent;
     bool isWithdrawal = false;
 
+    /** Returns the name of the withdrawal of this report. */
+    [[nodiscard]] std::string withdrawalName() const
+    {
+        return name + ".withdrawn";
+    }
+
     bool operator==(const SilenceReport &) const = default;
 };
 
--- a/src/edge/registrationupkeep.h
+++ b/src/edge/registrationupkeep.h
@@ -6,7 +6,9 @@
 
 #include <filbertmount/membership/knowninstances.h>
 
+#include <algorithm>
 #include <functional>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <utility>
@@ -72,7 +74,7 @@
         if (!isWriter && !isDeciding) {
             return;
         }
-        const bool isMissing = m_dependencies.known.isAnyMissing(now);
+        const bool isMissing = m_dependencies.known.isAnyMissing(now) || m_dependencies.known.reports().hasReports(now);
         const Duration interval = isDeciding ? ConfirmationInterval : MissingInterval;
         m_nextListing = isMissing ? std::min(m_nextListing, m_listedAt + interval) : m_nextListing;
         const std::optional<Instant> usableAt = m_dependencies.known.reports().usableAt();
@@ -125,6 +127,10 @@
             remove(entryNamed(obsolete->name), "removing the withdrawal of a report");
             return true;
         }
+        if (const SilenceReport *obsolete = known.obsoleteReport(now)) {
+            remove(entryNamed(obsolete->name), "removing a report on departed instances");
+            return true;
+        }
         const std::vector<std::string> silent = known.silenceToReport(now);
         if (silent.empty()) {
             return false;
@@ -142,8 +148,13 @@
             remove(entryNamed(report.name), "removing a withdrawn report");
             return;
         }
-        createReport(
-            report.name + ".withdrawn", report.silent, true, "a live instance was reported as silent; withdrawing the report");
+        const std::vector<std::string> live = m_dependencies.known.live();
+        std::vector<std::string> objecting;
+        std::copy_if(
+            report.silent.begin(), report.silent.end(), std::back_inserter(objecting), [&live](const std::string &address) {
+                return std::find(live.begin(), live.end(), address) != live.end();
+            });
+        createReport(report.withdrawalName(), objecting, true, "a live instance was reported as silent; withdrawing the report");
     }
 
     void
--- a/src/membership/knowninstances.cpp
+++ b/src/membership/knowninstances.cpp
@@ -132,6 +132,19 @@
     return live;
 }
 
+const SilenceReport *KnownInstances::obsoleteReport(Instant now) const
+{
+    const auto hasLeft = [&](const std::string &address) {
+        const auto entry = m_entries.find(address);
+        return entry == m_entries.end() || !mayRun(entry->second, now);
+    };
+    const std::vector<SilenceReport> &listed = m_reports.listed();
+    const auto found = std::find_if(listed.begin(), listed.end(), [&](const SilenceReport &report) {
+        return !report.isWithdrawal && std::all_of(report.silent.begin(), report.silent.end(), hasLeft);
+    });
+    return found == listed.end() ? nullptr : &*found;
+}
+
 std::vector<std::string> KnownInstances::silenceToReport(Instant now) const
 {
     const bool isStable = m_liveSince && now - *m_liveSince >= m_options.reportDelay;
--- a/src/membership/silencereports.cpp
+++ b/src/membership/silencereports.cpp
@@ -44,7 +44,7 @@
 bool SilenceReports::isWithdrawn(const SilenceReport &report) const
 {
     return std::any_of(m_listed.begin(), m_listed.end(), [&](const SilenceReport &other) {
-        return other.isWithdrawal && other.silent == report.silent;
+        return other.isWithdrawal && other.name == report.withdrawalName();
     });
 }
 
--- a/tests/edge/instanceregistrationtest.cpp
+++ b/tests/edge/instanceregistrationtest.cpp
@@ -311,6 +311,7 @@
         {"a majority", {"a", "b"}, true, {}, {}},
         {"a report on a live instance", {"a", "b"}, true, "b", {"POST c.silent-1.withdrawn", "DELETE c.silent-1"}},
         {"a report on the silent ones", {"a", "b"}, true, "c", {}},
+        {"a report on an instance that has left", {"a", "b"}, true, "d", {"DELETE c.silent-1"}},
     };
     for (const Row &row : rows) {
         CAPTURE(row.name);
--- a/tests/membership/silencereportstest.cpp
+++ b/tests/membership/silencereportstest.cpp
@@ -278,7 +278,8 @@
             if (reports.isWithdrawn(*wrong)) {
                 m_store.erase(wrong->name);
             } else {
-                m_store[wrong->name + ".w"] = {.name = wrong->name + ".w", .silent = wrong->silent, .isWithdrawal = true};
+                const std::string name = wrong->withdrawalName();
+                m_store[name] = {.name = name, .silent = part.known.live(), .isWithdrawal = true};
             }
         } else if (const SilenceReport *obsolete = reports.obsoleteWithdrawal(m_now)) {
             m_store.erase(obsolete->name);
@@ -300,6 +301,25 @@
 
 } // namespace
 
+// After the departures of lost instances are listed, nothing would be missing and no listing made, so that a report that stayed
+// in the store would take the quotas away again.
+TEST_CASE("known instances: a report on instances that have all left is no longer needed")
+{
+    const Instant start = Instant{} + seconds(100);
+    for (const bool haveAllLeft : {false, true}) {
+        CAPTURE(haveAllLeft);
+        KnownInstances known;
+        known.setMembers({{.id = InstanceId("a"), .peerAddress = "a"}}, {}, start);
+        std::vector<RegisteredInstance> entries{{"a"}, {"b"}, {"c"}, {"b", true}};
+        if (haveAllLeft) {
+            entries.push_back({"c", true});
+        }
+        known.setRegistered(entries, start);
+        known.setReports({report("r", {"b", "c", "gone"})}, start);
+        CHECK((known.obsoleteReport(start) != nullptr) == haveAllLeft);
+    }
+}
+
 // Tenants were refused for good after three of five machines had been lost. A rule that only counts the live ones would let both
 // parts of a divided fleet grant the whole quota.
 TEST_CASE("silence reports: of two parts of a fleet at most one acts as a majority, and what is left of it recovers")
