--- a/src/edge/registrationupkeep.h
+++ b/src/edge/registrationupkeep.h
@@ -77,8 +77,10 @@
         const bool isMissing = m_dependencies.known.isAnyMissing(now) || m_dependencies.known.reports().hasReports(now);
         const Duration interval = isDeciding ? ConfirmationInterval : MissingInterval;
         m_nextListing = isMissing ? std::min(m_nextListing, m_listedAt + interval) : m_nextListing;
-        const std::optional<Instant> usableAt = m_dependencies.known.reports().usableAt();
-        if (now >= std::min(m_nextListing, usableAt.value_or(m_nextListing))) {
+        if (const std::optional<Instant> usableAt = m_dependencies.known.reports().usableAt(); usableAt && isDeciding) {
+            m_nextListing = std::min(m_nextListing, *usableAt);
+        }
+        if (now >= m_nextListing) {
             list(now, isDeciding);
         } else if (isDeciding && writeReport(now)) {
             return;
