--- a/src/edge/statewire.h
+++ b/src/edge/statewire.h
@@ -46,6 +46,10 @@
  */
 inline constexpr std::size_t MaxPushBytes = 30'000;
 
+// Return how many bytes an item takes in a message.
+std::size_t wireBytes(const ForwardRoute &route);
+std::size_t wireBytes(const ServiceAccess &service);
+std::size_t wireBytes(const ClientAccount &account);
 /** Returns how many bytes @p routes take in messages. */
 std::size_t wireBytes(const RouteSet &routes);
 
