Bound the number of senders whose fragments are kept

Found in a last reading of this change: an incomplete envelope without content takes none of the bytes that are limited, so that datagrams with many sender names could make an instance remember any number of them. Now at most 256 incomplete envelopes are kept, the one that has waited longest is dropped first.

--- a/src/edge/messagefragments.cpp
+++ b/src/edge/messagefragments.cpp
@@ -65,9 +65,14 @@
     return m_pendingBytes;
 }
 
+std::size_t FragmentJoiner::pendingSenders() const
+{
+    return m_pending.size();
+}
+
 void FragmentJoiner::boundPending()
 {
-    while (m_pendingBytes > MaxPendingBytes) {
+    while (m_pendingBytes > MaxPendingBytes || m_pending.size() > MaxPendingSenders) {
         const auto oldest = std::min_element(m_pending.begin(), m_pending.end(), [](const auto &left, const auto &right) {
             return left.second.lastPartAt < right.second.lastPartAt;
         });
--- a/src/edge/messagefragments.h
+++ b/src/edge/messagefragments.h
@@ -32,10 +32,13 @@
 public:
     /** Limit on the bytes of all incomplete envelopes. */
     static constexpr std::size_t MaxPendingBytes = std::size_t{4} << 20U;
+    /** Limit on the number of incomplete envelopes. */
+    static constexpr std::size_t MaxPendingSenders = 256;
 
     /** Returns the encoded envelope when @p fragment was its last missing one. */
     std::optional<std::string> add(const InstanceId &from, const Wire::Fragment &fragment, Instant now);
     [[nodiscard]] std::size_t pendingBytes() const;
+    [[nodiscard]] std::size_t pendingSenders() const;
 
 private:
     struct Pending {
--- a/tests/edge/messagefragmentstest.cpp
+++ b/tests/edge/messagefragmentstest.cpp
@@ -59,6 +59,18 @@
     CHECK(joined == text);
 }
 
+// Fragments without content take no bytes of the limit, but each sender takes an entry.
+TEST_CASE("message fragments: any number of senders takes a bounded number of entries")
+{
+    FragmentJoiner joiner;
+    Wire::Fragment fragment;
+    fragment.set_count(2);
+    for (std::size_t sender = 0; sender < 10 * FragmentJoiner::MaxPendingSenders; ++sender) {
+        joiner.add(InstanceId(std::to_string(sender)), fragment, Instant() + std::chrono::seconds(sender));
+        CHECK(joiner.pendingSenders() <= FragmentJoiner::MaxPendingSenders);
+    }
+}
+
 TEST_CASE("message fragments: an invalid fragment is ignored")
 {
     struct Row {
