--- a/include/filbertmount/accounts/quotaelection.h
+++ b/include/filbertmount/accounts/quotaelection.h
@@ -30,11 +30,12 @@
  * Ensures that at any time at most one instance grants the tokens of an account, also when instances cannot reach each other.
  *
  * Each instance promises to follow one leader at a time. A leader that holds the promises of more than half of the known
- * instances publishes the list of owners and lets them grant for a limited time after each of their votes. While some of them are
- * missing, it also needs a recent listing of the store, because the others may have been told that these have failed; or all must
- * have followed one leader a short time ago. It gives the accounts of an owner to others only when that time is over. A leader
- * with fewer promises lets owners grant the part of the margin that corresponds to its share of the promises, so that the sum
- * over all parts of a divided fleet stays within the margin.
+ * instances publishes the list of owners and lets them grant for a limited time after each of their votes. It gives the accounts
+ * of an owner to others only when that time is over. A leader with fewer promises lets owners grant the part of the margin that
+ * corresponds to its share of the promises, so that the sum over all parts of a divided fleet stays within the margin.
+ *
+ * While instances are missing, a leader with a majority also needs a recent listing of the store, because a report there may let
+ * the missing ones act as a majority of their own (see SilenceReports); or all must have followed one leader a short time ago.
  *
  * Performs no I/O. Times are on the clock of this instance; no message carries a time. Not thread-safe.
  */
--- a/tests/edge/instanceregistrationtest.cpp
+++ b/tests/edge/instanceregistrationtest.cpp
@@ -358,3 +358,29 @@
         }
     }
 }
+
+// An instance that stopped deciding while a report was pending would have listed the instances twice a second from then on.
+TEST_CASE("registration upkeep: an instance that does not decide does not list early for a pending report")
+{
+    IoLoop loop{1};
+    ListStore store(loop);
+    for (const std::string name : {"a", "b"}) {
+        store.put(name, R"({"peer_address":")" + name + R"("})");
+    }
+    Upkeep upkeep(loop, store, {});
+    const Instant start = ProcessClock::now();
+    upkeep.known.setMembers({{.id = InstanceId("a"), .peerAddress = "a"}}, {}, start);
+    upkeep.known.setRegistered({{"a"}, {"b"}}, start);
+    upkeep.known.setReports({{.name = "r", .silent = {"b"}}}, start);
+    upkeep.known.confirmListing(start, start, false);
+    REQUIRE(upkeep.known.reports().usableAt().has_value());
+    constexpr int steps = 40;
+    for (int step = 1; step <= steps; ++step) {
+        upkeep.upkeep.tick(start + step * 700ms);
+        runUntil(loop, [end = ProcessClock::now() + 5ms] {
+            return ProcessClock::now() >= end;
+        });
+    }
+    // In 28 s, one listing every five seconds is due.
+    CHECK(store.calls.size() <= 7);
+}
